Move the parsing of HTTP responses into a module of its own

Cause: the client of the target beside a sidecar needs the connection and response classes that stood inside adapters.py, and three things more: bodies that end with their connection, a reset that is told from such an end, and connections that a stopping server does not break off in mid-request. Change: http_client.py holds them; adapters.py shrinks by 190 lines. receive() reads a green socket below eventlet, which returns no bytes for a reset. HttpProtocol marks connections that carry a request, so that the library closes only idle ones.

--- a/src/hickorythread/adapters.py
+++ b/src/hickorythread/adapters.py
@@ -8,7 +8,6 @@
 import http.client
 import json
 import re
-import socket
 import threading
 import time
 from typing import Any
@@ -16,10 +15,10 @@
 import uuid
 
 import urllib3
-import urllib3.connection
 import urllib3.exceptions
 
 from hickorythread import events
+from hickorythread import http_client
 from hickorythread import interfaces
 from hickorythread import models
 from hickorythread import utils
@@ -34,12 +33,7 @@
 SOURCE_CONNECT_SECONDS = 0.5
 CANCELLED_STATUS = 499
 CANCEL_SECONDS = 1.0
-MAX_JOINED_BYTES = 16_384
-MAX_LINE_BYTES = 65_536
-MAX_HEADERS = 100
-MAX_INTERIM_RESPONSES = 10
 READ_MARGIN_SECONDS = 5.0
-READ_CHUNK_BYTES = 65_536
 
 _PATHS = {"config": "/v1/log", "hosts": "/v1/hosts"}
 _HOST_FIELDS = (
@@ -173,7 +167,7 @@
         pieces: list[bytes] = []
         size = 0
         try:
-            while piece := response.read1(READ_CHUNK_BYTES):
+            while piece := response.read1(http_client.READ_CHUNK_BYTES):
                 size += len(piece)
                 pieces.append(piece)
                 if size > MAX_ANSWER_BYTES:
@@ -204,161 +198,6 @@
         self.expired = False
 
 
-class _Reader:
-    """Buffer what a connection has received, for as long as it is open.
-
-    The file objects of the socket module are built anew for each response
-    and take as long as the rest of reading it.
-    """
-
-    __slots__ = ("sock", "data", "at")
-
-    def __init__(self, sock: Any) -> None:
-        self.sock = sock
-        self.data = b""
-        self.at = 0
-
-    def makefile(self, mode: str) -> "_Reader":
-        """Serve as the socket that a response reads from."""
-        return self
-
-    def readline(self, limit: int) -> bytes:
-        """Return a line, or what precedes the limit or the end."""
-        end = self.data.find(b"\n", self.at) + 1
-        while not end and len(self.data) - self.at < limit:
-            if not self._fill():
-                break
-            end = self.data.find(b"\n", self.at) + 1
-        return self._take(min(end or len(self.data), self.at + limit))
-
-    def read(self, size: int) -> bytes:
-        """Return so many bytes, fewer only at the end."""
-        while len(self.data) - self.at < size:
-            if not self._fill():
-                break
-        return self._take(min(len(self.data), self.at + size))
-
-    def is_empty(self) -> bool:
-        """Return whether everything received has been read."""
-        return self.at == len(self.data)
-
-    def close(self) -> None:
-        """Do nothing: the socket belongs to the connection."""
-
-    def flush(self) -> None:
-        """Do nothing: nothing is written here."""
-
-    def _fill(self) -> bool:
-        piece = self.sock.recv(READ_CHUNK_BYTES)
-        self.data = self.data[self.at :] + piece
-        self.at = 0
-        return bool(piece)
-
-    def _take(self, end: int) -> bytes:
-        taken = self.data[self.at : end]
-        self.at = end
-        return taken
-
-
-class _Response(http.client.HTTPResponse):
-    """Read the head of a response without the parser of the email package.
-
-    That parser takes a third of the time of a whole request.
-    """
-
-    fields: list[list[str]]
-    _method: str
-
-    def begin(self) -> None:
-        """Read the status line and the header lines."""
-        status = self._read_start()
-        self.fields = self._read_fields()
-        for _ in range(MAX_INTERIM_RESPONSES):
-            if status >= 200:
-                break
-            status = self._read_start()
-            self.fields = self._read_fields()
-        self.code = self.status = status
-        self._set_framing({name.lower(): text for name, text in self.fields})
-
-    def _read_start(self) -> int:
-        line = self._read_line()
-        if not line:
-            raise http.client.RemoteDisconnected("closed without a response")
-        parts = line.split(None, 2)
-        if len(parts) < 2 or parts[0] not in (b"HTTP/1.1", b"HTTP/1.0"):
-            raise http.client.BadStatusLine(repr(line[:80]))
-        self.version = 11 if parts[0] == b"HTTP/1.1" else 10
-        if len(parts[1]) != 3 or not parts[1].isdigit():
-            raise http.client.BadStatusLine(repr(line[:80]))
-        return int(parts[1])
-
-    def _read_fields(self) -> list[list[str]]:
-        fields: list[list[str]] = []
-        while True:
-            line = self._read_line()
-            if line in (b"\r\n", b"\n"):
-                return fields
-            name, colon, text = line.decode("latin-1").partition(":")
-            if not colon or name != name.strip() or not name:
-                raise http.client.HTTPException("malformed header line")
-            if len(fields) == MAX_HEADERS:
-                raise http.client.HTTPException("too many headers")
-            fields.append([name, text.strip()])
-
-    def _read_line(self) -> bytes:
-        line: bytes = self.fp.readline(MAX_LINE_BYTES + 1)
-        if len(line) > MAX_LINE_BYTES:
-            raise http.client.LineTooLong("header line")
-        if line and not line.endswith(b"\n"):
-            raise http.client.IncompleteRead(line)
-        return line
-
-    def _set_framing(self, values: dict[str, str]) -> None:
-        connection = values.get("connection", "").lower()
-        self.will_close = "close" in connection or (
-            self.version == 10 and "keep-alive" not in connection
-        )
-        encoding = values.get("transfer-encoding", "").lower()
-        text = values.get("content-length", "")
-        self.chunked = encoding == "chunked"
-        self.chunk_left = None
-        self.length = None
-        if self.status in (204, 304) or self._method == "HEAD":
-            self.chunked = False
-            self.length = 0
-        elif self.chunked == bool(text) or encoding not in ("", "chunked"):
-            raise http.client.HTTPException("the body has no clear end")
-        elif not self.chunked:
-            self.length = self._parse_length(text)
-
-    def _parse_length(self, text: str) -> int:
-        lengths = {
-            value
-            for name, value in self.fields
-            if name.lower() == "content-length"
-        }
-        if len(lengths) != 1 or not text.isdecimal():
-            raise http.client.HTTPException("malformed Content-Length")
-        return int(text)
-
-
-class _Connection(urllib3.connection.HTTPConnection):
-    """Hold one kept-alive connection and what it has received.
-
-    Requests are written to its socket, since http.client would reopen a
-    closed connection and so bypass the limit and the pacing of new ones.
-    """
-
-    auto_open = 0
-    reader: _Reader
-
-    def connect(self) -> None:
-        """Open the connection; raises OSError or HTTPError."""
-        super().connect()
-        self.reader = _Reader(self.sock)
-
-
 class UpstreamClient:
     """Run requests at the upstream beside this node, each at most once."""
 
@@ -381,7 +220,7 @@
         self._host, self._port = utils.split_address(address)
         self._host_line = f"Host: {address}"
         self._prefix = uuid.uuid4().hex[:12]
-        self._idle: list[_Connection] = []
+        self._idle: list[http_client.Connection] = []
         self._runs: dict[int, _Run] = {}
         self._condition = threading.Condition()
         self._waiting = 0
@@ -420,7 +259,7 @@
         if run.sock is None or self._send_cancel(action.run_id):
             return
         if run.sock is not None:
-            _shut_down(run.sock)
+            http_client.shut_down(run.sock)
 
     def expire(self, now: float) -> int:
         """Break runs past their deadline and return their number.
@@ -433,7 +272,7 @@
             if run.sock is not None and now > run.deadline:
                 run.expired = True
                 expired += 1
-                _shut_down(run.sock)
+                http_client.shut_down(run.sock)
         return expired
 
     def close(self) -> None:
@@ -464,7 +303,10 @@
         return events.UpstreamFailed(action.run_id, result)
 
     def _exchange(
-        self, connection: _Connection, action: events.RunUpstream, run: _Run
+        self,
+        connection: http_client.Connection,
+        action: events.RunUpstream,
+        run: _Run,
     ) -> events.UpstreamAnswered | str:
         """Return the answer, or the kind of the failure."""
         keep = False
@@ -478,7 +320,7 @@
             run.sock.settimeout(remaining)
             deadline_ms = int((self.clock.wall() + remaining) * 1000)
             head += b"X-Deadline-Unix-Ms: %d\r\n\r\n" % deadline_ms
-            _send(run.sock, head, action.body)
+            http_client.send(run.sock, head, action.body)
             answer, keep = self._receive(connection, action)
             return answer
         except TimeoutError:
@@ -520,11 +362,10 @@
         return "\r\n".join(lines).encode("latin-1")
 
     def _receive(
-        self, connection: _Connection, action: events.RunUpstream
+        self, connection: http_client.Connection, action: events.RunUpstream
     ) -> tuple[events.UpstreamAnswered, bool]:
         reader = connection.reader
-        response = _Response(reader, method=action.method)  # type: ignore
-        response.begin()
+        response = http_client.begin(connection, action.method)
         body = self._read_body(connection.sock, response, action.deadline)
         headers = []
         started_at = 0
@@ -541,18 +382,18 @@
         return answer, not response.will_close and reader.is_empty()
 
     def _read_body(
-        self, sock: Any, response: _Response, deadline: float
+        self, sock: Any, response: http_client.Response, deadline: float
     ) -> bytes:
         length = response.length
         if length == 0:
             return b""
         if length is not None and length > MAX_RESPONSE_BYTES:
             raise http.client.HTTPException("response too large")
-        if length is not None and length <= READ_CHUNK_BYTES:
+        if length is not None and length <= http_client.READ_CHUNK_BYTES:
             return response.read()
         pieces: list[bytes] = []
         size = 0
-        while piece := response.read(READ_CHUNK_BYTES):
+        while piece := response.read(http_client.READ_CHUNK_BYTES):
             pieces.append(piece)
             size += len(piece)
             if size > MAX_RESPONSE_BYTES:
@@ -565,7 +406,7 @@
             raise http.client.IncompleteRead(b"", length - size)
         return b"".join(pieces)
 
-    def _acquire(self, deadline: float) -> "_Connection | str":
+    def _acquire(self, deadline: float) -> "http_client.Connection | str":
         """Return an idle or a new connection, or the kind of failure."""
         while True:
             connection = self._take_idle()
@@ -579,13 +420,13 @@
                     return "late"
         return self._connect(deadline)
 
-    def _take_idle(self) -> "_Connection | None":
+    def _take_idle(self) -> "http_client.Connection | None":
         while self._idle:
             try:
                 connection = self._idle.pop()
             except IndexError:
                 return None
-            if _is_usable(connection.sock):
+            if http_client.is_usable(connection.sock):
                 return connection
             self.dropped_idle_total += 1
             self._discard(connection)
@@ -603,8 +444,8 @@
         finally:
             self._waiting -= 1
 
-    def _connect(self, deadline: float) -> "_Connection | str":
-        connection = _Connection(self._host, self._port)
+    def _connect(self, deadline: float) -> "http_client.Connection | str":
+        connection = http_client.Connection(self._host, self._port)
         try:
             if not self._pace(deadline):
                 self._discard(connection)
@@ -634,7 +475,7 @@
             self.sleep(start_at - now)
         return True
 
-    def _release(self, connection: _Connection) -> None:
+    def _release(self, connection: http_client.Connection) -> None:
         if self.open > self.connections:
             self._discard(connection)
             return
@@ -643,7 +484,7 @@
             with self._condition:
                 self._condition.notify()
 
-    def _discard(self, connection: _Connection) -> None:
+    def _discard(self, connection: http_client.Connection) -> None:
         connection.close()
         with self._condition:
             self.open -= 1
@@ -826,33 +667,3 @@
     if status == 429:
         return "rate"
     return "refused" if status >= 500 else "malformed"
-
-
-def _send(sock: Any, head: bytes, body: bytes) -> None:
-    """Send the head and a small body in one segment."""
-    if len(body) <= MAX_JOINED_BYTES:
-        sock.sendall(head + body)
-    else:
-        sock.sendall(head)
-        sock.sendall(body)
-
-
-def _is_usable(sock: Any) -> bool:
-    """Tell whether an idle connection is open and has nothing to read."""
-    if sock is None:
-        return False
-    sock.settimeout(0.0)
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
-def _shut_down(sock: Any) -> None:
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        return
--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -159,6 +159,10 @@
         try:
             while not self.close_connection:
                 self.handle_one_request()
+                if self.conn_state[2] == wsgi.STATE_CLOSE:
+                    self.close_connection = True
+                else:
+                    self.conn_state[2] = wsgi.STATE_IDLE
         except OSError:
             # The caller has gone or is too slow; nobody waits for an answer.
             self.close_connection = True
@@ -169,6 +173,8 @@
         if not self.raw_requestline:
             self.close_connection = True
             return
+        # A server that stops breaks off idle connections only.
+        self.conn_state[2] = wsgi.STATE_REQUEST
         if not self.parse_request():
             return
         environ = self.get_environ()
@@ -203,6 +209,7 @@
         environ["REQUEST_METHOD"] = self.command
         environ["SCRIPT_NAME"] = ""
         environ["RAW_PATH_INFO"] = path
+        environ["hickorythread.path"] = self.path
         environ["PATH_INFO"] = (
             parse.unquote(path, "latin1") if "%" in path else path
         )
--- a/src/hickorythread/server.py
+++ b/src/hickorythread/server.py
@@ -223,27 +223,28 @@
     return headers
 
 
-def read_body(environ: Environ) -> bytes:
+def read_body(environ: Environ, limit: int = MAX_BODY_BYTES) -> bytes:
     """Read the whole body; raises BadRequest if it is too large or cut."""
+    too_large = f"body exceeds {limit} bytes"
     text = environ.get("CONTENT_LENGTH")
     if not text:
         if environ.get("HTTP_TRANSFER_ENCODING", "").lower() != "chunked":
             return b""
         try:
-            body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+            body = environ["wsgi.input"].read(limit + 1)
         except http_protocol.BodyError as error:
             raise BadRequest(400, "chunked", str(error)) from error
     else:
         length = int(text) if text.isdigit() else -1
         if length < 0:
             raise BadRequest(400, "length", "Content-Length is not a count")
-        if length > MAX_BODY_BYTES:
-            raise BadRequest(413, "too_large", "body exceeds 1 MiB")
+        if length > limit:
+            raise BadRequest(413, "too_large", too_large)
         body = environ["wsgi.input"].read(length)
         if len(body) < length:
             raise BadRequest(400, "cut", "body is shorter than announced")
-    if len(body) > MAX_BODY_BYTES:
-        raise BadRequest(413, "too_large", "body exceeds 1 MiB")
+    if len(body) > limit:
+        raise BadRequest(413, "too_large", too_large)
     return bytes(body)
 
 
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -27,6 +27,9 @@
 RECONNECT_FIRST_SECONDS = 0.1
 RECONNECT_MAX_SECONDS = 5.0
 CLOCK_PROBE_SECONDS = 10.0
+NO_DELAY: list[tuple[int, int, int | bytes]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+]
 
 
 class Handler(Protocol):
@@ -68,6 +71,7 @@
         "closed",
         "offset",
         "held",
+        "heard_at",
     )
 
     def __init__(
@@ -89,6 +93,7 @@
         self.closed = False
         self.offset = deadlines.ClockOffset()
         self.held: list[tuple[Any, float]] = []
+        self.heard_at = manager.clock.monotonic()
 
     def send(self, message: messages.Message) -> bool:
         """Queue a message; returns False once the stream is closed."""
@@ -159,6 +164,7 @@
                 data = self.sock.recv(READ_BYTES)
                 if not data:
                     break
+                self.heard_at = self.manager.clock.monotonic()
                 for result in self.decoder.feed(data):
                     self.manager.decoded(self, result)
         except EOFError:
@@ -210,6 +216,8 @@
         self.listener: Any = None
         self.tasks: list[Any] = []
         self.bytes_sent = collections.Counter[str]()
+        self.reconnect_max = RECONNECT_MAX_SECONDS
+        self.socket_options = NO_DELAY
         self.stopping = False
 
     def listen(self, address: str) -> None:
@@ -342,7 +350,7 @@
             backoff = readers.Backoff(
                 self.random_source,
                 RECONNECT_FIRST_SECONDS,
-                RECONNECT_MAX_SECONDS,
+                self.reconnect_max,
             )
             self.backoffs[host_id] = backoff
         now = self.clock.monotonic()
@@ -364,7 +372,8 @@
 
     def _start(self, stream: Stream) -> None:
         try:
-            stream.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for option in self.socket_options:
+                stream.sock.setsockopt(*option)
         except OSError as error:
             stream.close(f"reset: {error.strerror}")
             return
