--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -47,9 +47,9 @@
 def main(argv: list[str] | None = None) -> int:
     """Run one command and return its exit code."""
     arguments = sys.argv[1:] if argv is None else argv
-    if arguments[:1] == ["node"]:
+    if arguments[:1] in (["node"], ["sidecar"]):
         _stop_early()
-    if arguments[:1] in (["node"], ["standin"]):
+    if arguments[:1] in (["node"], ["sidecar"], ["standin"]):
         _patch_standard_library()
     import defopt
 
@@ -161,6 +161,26 @@
     return _serve(lambda: module.run(result.ok))
 
 
+def sidecar(*, settings: str) -> int:
+    """Run a sidecar on the users' platform until SIGTERM or SIGINT.
+
+    Exits 0 after a graceful shutdown, 2 if the settings are wrong, 3 if an
+    address is in use, 5 on a broken invariant.
+
+    :param settings: settings file in JSON
+    """
+    from hickorythread.mesh import settings as settings_module
+
+    document = _load(settings)
+    result = settings_module.Settings.from_config(document)
+    if result.is_error():
+        raise _problems_error(settings, result.error)
+    import importlib
+
+    module = importlib.import_module("hickorythread.platform.sidecar")
+    return _serve(lambda: module.run(result.ok))
+
+
 def check(file: str, *, format: Format = "text") -> int:
     """Check a settings or patch file and report all mistakes at once.
 
@@ -449,6 +469,7 @@
 
 COMMANDS: dict[str, Any] = {
     "node": node,
+    "sidecar": sidecar,
     "check": check,
     "patch": {
         "check": patch_check,
--- /dev/null
+++ b/src/hickorythread/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""The data path of a sidecar: placement, admission and recovery."""
--- /dev/null
+++ b/src/hickorythread/mesh/admission.py
@@ -0,0 +1,190 @@
+"""Bound the work of one target: slots, warm-up rate and a queue."""
+
+import heapq
+from typing import Any
+
+from hickorythread import exceptions
+
+MIN_RETRY_AFTER_SECONDS = 0.1
+MAX_RETRY_AFTER_SECONDS = 1.0
+LATENCY_SMOOTHING = 0.1
+FIRST_LATENCY_SECONDS = 0.1
+MAX_ROUTES = 1024
+# The bound on a cold target holds in any second, so that its bucket stays
+# small beside its rate.
+WARMUP_BURST = 2.0
+WARMUP_SHARE = 0.9
+MAX_QUEUE_PER_SLOT = 8
+
+
+class Work:
+    """Hold one request that asks for a slot.
+
+    item belongs to the caller; late_at is when its answer loses value and
+    deadline when nobody waits any more, both in monotonic seconds.
+    """
+
+    __slots__ = ("item", "route", "priority", "late_at", "deadline")
+
+    def __init__(
+        self,
+        item: Any,
+        route: str,
+        priority: int,
+        late_at: float,
+        deadline: float,
+    ) -> None:
+        self.item = item
+        self.route = route
+        self.priority = priority
+        self.late_at = late_at
+        self.deadline = deadline
+
+
+class Bucket:
+    """Allow a number of starts per second, with a small burst."""
+
+    __slots__ = ("rate", "burst", "tokens", "filled_at")
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self.tokens = burst
+        self.filled_at = now
+
+    def take(self, now: float) -> bool:
+        """Take one token if there is one."""
+        self.tokens = min(
+            self.burst, self.tokens + (now - self.filled_at) * self.rate
+        )
+        self.filled_at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class Admission:
+    """Decide which requests run, wait or are refused."""
+
+    def __init__(self, slots: int, now: float) -> None:
+        self.slots = slots
+        self.running = 0
+        self.queue: list[tuple[int, int, Work]] = []
+        self.last_entry = 0
+        self.latency = FIRST_LATENCY_SECONDS
+        self.latencies: dict[str, float] = {}
+        self.cold_until = 0.0
+        self.bucket: Bucket | None = None
+        self.paused = True
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once."""
+        if self.bucket is None:
+            return self.slots
+        cold = int(self.bucket.rate * self.latency)
+        return max(1, min(self.slots, cold))
+
+    def load(self) -> list[int]:
+        """Return running and waiting requests and the limit."""
+        return [self.running, len(self.queue), self.limit]
+
+    def set_cold(self, seconds: float, rate: float, now: float) -> None:
+        """Limit the rate of starts until the target is warm.
+
+        A report that ends sooner than an earlier one shortens the time.
+        """
+        if seconds <= 0.0:
+            self.bucket = None
+            self.cold_until = now
+            return
+        self.cold_until = now + seconds
+        if self.bucket is None:
+            self.bucket = Bucket(WARMUP_SHARE * rate, WARMUP_BURST, now)
+
+    def cold(self, now: float) -> bool:
+        """Return whether the target still warms up."""
+        if self.bucket is not None and now >= self.cold_until:
+            self.bucket = None
+        return self.bucket is not None
+
+    def offer(
+        self, work: Work, now: float
+    ) -> tuple[bool, exceptions.Refusal | None]:
+        """Return whether the work runs now, and its refusal if it never will.
+
+        Work that neither runs nor is refused waits in the queue.
+        """
+        if not self.queue and self._may_start(now):
+            self.running += 1
+            return True, None
+        wait = self.expected_wait(work.priority)
+        finish = now + wait + self.latencies.get(work.route, self.latency)
+        if finish > min(work.late_at, work.deadline):
+            return False, self.refusal("expected-wait", wait)
+        if len(self.queue) >= MAX_QUEUE_PER_SLOT * self.slots:
+            return False, self.refusal("queue-full", wait)
+        self.last_entry += 1
+        heapq.heappush(self.queue, (work.priority, self.last_entry, work))
+        return False, None
+
+    def expected_wait(self, priority: int) -> float:
+        """Return the time until a new request of a priority would run."""
+        ahead = sum(1 for entry in self.queue if entry[0] <= priority) + 1
+        wait = ahead * self.latency / self.slots
+        if self.bucket is not None:
+            wait = max(wait, ahead / self.bucket.rate)
+        return wait
+
+    def refusal(self, reason: str, wait: float = 0.0) -> exceptions.Refusal:
+        """Return the refusal of work that the target has no room for."""
+        seconds = min(
+            max(MIN_RETRY_AFTER_SECONDS, wait), MAX_RETRY_AFTER_SECONDS
+        )
+        return exceptions.Refusal(503, reason, "target is busy", seconds)
+
+    def next_ready(self, now: float) -> Work | None:
+        """Remove and return the next request that may run, if any."""
+        if not self.queue or not self._may_start(now):
+            return None
+        self.running += 1
+        return heapq.heappop(self.queue)[2]
+
+    def take_expired(self, now: float) -> list[Work]:
+        """Remove the requests that could not be answered in time."""
+        return self.take_if(
+            lambda work: (
+                now + 0.5 * self.latencies.get(work.route, self.latency)
+                > work.deadline
+            )
+        )
+
+    def take_if(self, doomed: Any) -> list[Work]:
+        """Remove the queued requests for which doomed is true."""
+        removed = [entry[2] for entry in self.queue if doomed(entry[2])]
+        if removed:
+            self.queue = [
+                entry for entry in self.queue if entry[2] not in removed
+            ]
+            heapq.heapify(self.queue)
+        return removed
+
+    def ended(self, route: str = "", latency: float | None = None) -> None:
+        """Free a slot; latency is that of a complete answer."""
+        self.running -= 1
+        if latency is None:
+            return
+        self.latency += LATENCY_SMOOTHING * (latency - self.latency)
+        if len(self.latencies) >= MAX_ROUTES:
+            self.latencies.clear()
+        known = self.latencies.get(route, latency)
+        self.latencies[route] = known + LATENCY_SMOOTHING * (latency - known)
+
+    def _may_start(self, now: float) -> bool:
+        if self.paused or self.running >= self.slots:
+            return False
+        if not self.cold(now):
+            return True
+        assert self.bucket is not None
+        return self.bucket.take(now)
--- /dev/null
+++ b/src/hickorythread/mesh/entry.py
@@ -0,0 +1,460 @@
+"""Carry requests at the node that the client reached."""
+
+import heapq
+import math
+from typing import Any
+
+from hickorythread import deadlines
+from hickorythread import interfaces
+from hickorythread import messages as base_messages
+from hickorythread import retries
+from hickorythread.mesh import events
+from hickorythread.mesh import execution
+from hickorythread.mesh import messages
+from hickorythread.mesh import models
+from hickorythread.mesh import placement
+from hickorythread.mesh import routing
+from hickorythread.mesh import settings as mesh_settings
+from hickorythread.mesh import view as mesh_view
+
+# The target answers at the deadline itself; its answer needs this long.
+ANSWER_SECONDS = 0.08
+ASIDE_SECONDS = 0.5
+MAX_REFUSALS = 3
+MIN_REPEAT_SECONDS = 0.05
+STARTING_RETRY_SECONDS = 0.5
+NO_TARGET_RETRY_SECONDS = 0.4
+SPARE_TIMERS = 256
+SERVER_ERROR = 500
+
+Actions = list[events.Record]
+
+
+class Pending:
+    """Hold a request until its answer is known.
+
+    runs counts the sends that may have run, refusals those that did not;
+    tried holds the hosts that were asked.
+    """
+
+    __slots__ = (
+        "request",
+        "route",
+        "service",
+        "deadline",
+        "call_id",
+        "host_id",
+        "target_id",
+        "sent_at",
+        "runs",
+        "refusals",
+        "tried",
+        "retry_after",
+    )
+
+    def __init__(
+        self,
+        request: events.Request,
+        route: models.Route,
+        service: str,
+        deadline: float,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.call_id = 0
+        self.host_id = ""
+        self.target_id = ""
+        self.sent_at = 0.0
+        self.runs = 0
+        self.refusals = 0
+        self.tried: set[str] = set()
+        self.retry_after = math.inf
+
+
+class EntryPlane:
+    """Choose a target for each request and answer its client."""
+
+    def __init__(
+        self,
+        settings: mesh_settings.Settings,
+        view: mesh_view.View,
+        random_source: interfaces.RandomSource,
+    ) -> None:
+        self.settings = settings
+        self.view = view
+        self.placement = placement.Placement(
+            settings.host_id,
+            settings.failure_domain,
+            settings.regions,
+            random_source,
+        )
+        self.splitter = routing.Splitter(random_source)
+        self.budget = retries.RetryBudget()
+        self.router: routing.Router | None = None
+        self.pending: dict[int, Pending] = {}
+        self.by_number: dict[int, Pending] = {}
+        self.timers: list[tuple[float, int]] = []
+        # A restarted process must not reuse the call ids of the last one.
+        self.last_call_id = random_source.getrandbits(48)
+
+    def request(self, request: events.Request, now: float) -> Actions:
+        """Send a request to a target or refuse it."""
+        if self.router is None:
+            return self._refuse(
+                request, 503, "starting", STARTING_RETRY_SECONDS
+            )
+        route = self.router.find(request.host, request.path)
+        if route is None:
+            return self._refuse(request, 404, "no-route")
+        remaining = route.timeout
+        if request.remaining is not None:
+            remaining = min(remaining, request.remaining)
+        deadline = request.received_at + remaining
+        service = self.splitter.pick(route)
+        pending = Pending(request, route, service, deadline)
+        if now >= deadline:
+            return self._respond(pending, 504, "deadline")
+        self.budget.note_request(service)
+        return self._dispatch(pending, now)
+
+    def reply(
+        self, host_id: str, message: base_messages.Reply, now: float
+    ) -> Actions:
+        """Handle the outcome that the node beside a target reports."""
+        pending = self.pending.get(message.call_id)
+        if pending is None or pending.host_id != host_id:
+            return [events.Log("late_reply", host=host_id)]
+        peer = self.placement.peer(host_id)
+        if _is_load(message.load):
+            peer.report(message.load, now)
+        self._close(pending)
+        if message.body_length != len(message.body):
+            return self._lost(pending, 502, "cut-reply", now)
+        if not base_messages.are_headers(message.headers):
+            return self._lost(pending, 502, "malformed-reply", now)
+        if message.outcome == messages.COMPLETE:
+            return self._completed(pending, message, now)
+        if message.outcome == messages.NOT_RUN:
+            return self._not_run(pending, message, now)
+        peer.note(True, now)
+        return self._lost(pending, message.status, message.reason, now)
+
+    def peer_lost(self, host_id: str, now: float) -> Actions:
+        """Settle the calls that a broken stream carried."""
+        self.placement.connected.discard(host_id)
+        actions: Actions = []
+        for pending in self._calls_to(host_id):
+            self._close(pending)
+            actions += self._lost(pending, 502, "stream-lost", now)
+        return actions
+
+    def peer_connected(self, host_id: str) -> None:
+        """Use the targets of a node that can be reached again."""
+        self.placement.connected.add(host_id)
+        self.placement.peer(host_id).silent = False
+
+    def peer_silent(self, host_id: str, silent: bool, now: float) -> Actions:
+        """Stop using a node that does not answer, and repeat what may be.
+
+        Requests that must not repeat wait for its answer.
+        """
+        peer = self.placement.peer(host_id)
+        if peer.silent == silent:
+            return []
+        peer.silent = silent
+        actions: Actions = [
+            events.Log("peer_silent", host=host_id, silent=silent)
+        ]
+        if not silent:
+            return actions
+        for pending in self._calls_to(host_id):
+            if pending.route.idempotent:
+                cancel = self._cancel(pending)
+                self._close(pending)
+                actions += [cancel]
+                actions += self._lost(pending, 502, "peer-silent", now)
+        return actions
+
+    def target_state(
+        self, host_id: str, message: messages.TargetState, now: float
+    ) -> Actions:
+        """Note whether a target takes new work."""
+        peer = self.placement.peer(host_id)
+        peer.usable = message.usable
+        if _is_load(message.load):
+            peer.report(message.load, now)
+        return [
+            events.Log(
+                "peer_target",
+                host=host_id,
+                usable=message.usable,
+                reason=message.reason,
+            )
+        ]
+
+    def client_gone(self, number: int, now: float) -> Actions:
+        """Cancel the call of a client that has disconnected."""
+        pending = self.by_number.get(number)
+        if pending is None:
+            return []
+        cancel = self._cancel(pending)
+        self._close(pending)
+        return [cancel, self._log("client_gone", pending, now)]
+
+    def tick(self, now: float) -> Actions:
+        """Answer the requests whose time has passed."""
+        actions: Actions = []
+        while self.timers and self.timers[0][0] <= now:
+            pending = self.pending.get(heapq.heappop(self.timers)[1])
+            if pending is None:
+                continue
+            peer = self.placement.peer(pending.host_id)
+            peer.note(True, now)
+            cancel = self._cancel(pending)
+            self._close(pending)
+            actions.append(cancel)
+            actions += self._respond(pending, 504, "timeout", now=now)
+        return actions
+
+    def oldest_calls(self) -> dict[str, float]:
+        """Return for each host when its oldest open call was sent."""
+        oldest: dict[str, float] = {}
+        for pending in self.pending.values():
+            sent_at = oldest.get(pending.host_id, pending.sent_at)
+            oldest[pending.host_id] = min(sent_at, pending.sent_at)
+        oldest.pop(self.settings.host_id, None)
+        return oldest
+
+    def view_changed(self) -> None:
+        """Put the newest view in force."""
+        configuration = self.view.configuration
+        if configuration is None:
+            return
+        router = self.router
+        if router is None or router.configuration is not configuration:
+            self.router = routing.Router(configuration)
+            names = {route.name for route in configuration.routes}
+            self.splitter.keep_only(names)
+            self.budget.keep_only(set(configuration.services))
+
+    def _dispatch(self, pending: Pending, now: float) -> Actions:
+        target = self.placement.choose(
+            self.view.by_service.get(pending.service, ()),
+            pending.route,
+            self.view.evacuated,
+            pending.tried,
+            now,
+        )
+        if target is None:
+            return self._give_up(pending, "no-target", now)
+        self.last_call_id = call_id = self.last_call_id + 1
+        pending.call_id = call_id
+        pending.host_id = target.host_id
+        pending.target_id = target.id
+        pending.sent_at = now
+        pending.tried.add(target.host_id)
+        peer = self.placement.peer(target.host_id)
+        peer.own += 1
+        peer.sent += 1
+        self.pending[call_id] = pending
+        self.by_number[pending.request.number] = pending
+        due = pending.deadline + ANSWER_SECONDS
+        heapq.heappush(self.timers, (due, call_id))
+        if len(self.timers) > 2 * len(self.pending) + SPARE_TIMERS:
+            self._rebuild_timers()
+        message = self._message(pending, now)
+        return [events.Send(target.host_id, message)]
+
+    def _message(self, pending: Pending, now: float) -> messages.Forward:
+        request = pending.request
+        route = pending.route
+        objective = request.received_at + route.objective - now
+        return messages.Forward(
+            pending.call_id,
+            request.request_id,
+            pending.service,
+            route.name,
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            float(pending.deadline - now),
+            float(objective),
+            route.idempotent,
+            route.priority,
+            self.settings.service,
+        )
+
+    def _completed(
+        self, pending: Pending, message: base_messages.Reply, now: float
+    ) -> Actions:
+        failed = message.status >= SERVER_ERROR
+        peer = self.placement.peer(pending.host_id)
+        peer.note(failed, now)
+        pending.runs += 1
+        if failed and self._may_repeat(pending, now):
+            return self._repeat(pending, f"status-{message.status}", now)
+        response = events.Response(
+            message.status,
+            message.headers,
+            message.body,
+            from_target=True,
+        )
+        return [
+            events.Respond(pending.request.number, response),
+            self._log(
+                "answered", pending, now, status=message.status, reason=""
+            ),
+        ]
+
+    def _not_run(
+        self, pending: Pending, message: base_messages.Reply, now: float
+    ) -> Actions:
+        """Ask another target, since this one has not run the request."""
+        pending.refusals += 1
+        if message.retry_after > 0:
+            pending.retry_after = min(pending.retry_after, message.retry_after)
+        reason = message.reason
+        peer = self.placement.peer(pending.host_id)
+        if reason in execution.CLOSED_REASONS:
+            self.placement.set_aside(pending.host_id, ASIDE_SECONDS, now)
+        if reason == execution.SHED:
+            peer.note(True, now)
+        if message.status == 429:
+            return self._give_up(pending, reason, now)
+        if pending.refusals > MAX_REFUSALS:
+            return self._give_up(pending, reason, now)
+        if reason == execution.SHED and not self.budget.take(pending.service):
+            return self._give_up(pending, "retry-budget", now)
+        log = self._log("not_run", pending, now, reason=reason)
+        return [log, *self._dispatch(pending, now)]
+
+    def _lost(
+        self, pending: Pending, status: int, reason: str, now: float
+    ) -> Actions:
+        """Repeat a request that may have run, if that does no harm."""
+        pending.runs += 1
+        if self._may_repeat(pending, now):
+            return self._repeat(pending, reason, now)
+        return self._respond(pending, status, reason, now=now)
+
+    def _may_repeat(self, pending: Pending, now: float) -> bool:
+        if not pending.route.idempotent:
+            return False
+        if pending.runs >= pending.route.attempts:
+            return False
+        return now + MIN_REPEAT_SECONDS < pending.deadline
+
+    def _repeat(self, pending: Pending, reason: str, now: float) -> Actions:
+        if not self.budget.take(pending.service):
+            return self._respond(pending, 502, "retry-budget", now=now)
+        log = self._log("repeated", pending, now, reason=reason)
+        return [log, *self._dispatch(pending, now)]
+
+    def _give_up(self, pending: Pending, reason: str, now: float) -> Actions:
+        """Refuse a request; 503 promises that it has not run."""
+        if pending.runs:
+            return self._respond(pending, 502, reason, now=now)
+        retry_after = pending.retry_after
+        if math.isinf(retry_after):
+            retry_after = NO_TARGET_RETRY_SECONDS
+        return self._respond(pending, 503, reason, retry_after, now=now)
+
+    def _respond(
+        self,
+        pending: Pending,
+        status: int,
+        reason: str,
+        retry_after: float = 0.0,
+        now: float = 0.0,
+    ) -> Actions:
+        response = events.Response(
+            status, [], b"", reason, retry_after=retry_after
+        )
+        return [
+            events.Respond(pending.request.number, response),
+            self._log("failed", pending, now, status=status, reason=reason),
+        ]
+
+    def _refuse(
+        self,
+        request: events.Request,
+        status: int,
+        reason: str,
+        retry_after: float = 0.0,
+    ) -> Actions:
+        response = events.Response(
+            status, [], b"", reason, retry_after=retry_after
+        )
+        return [
+            events.Respond(request.number, response),
+            events.Log(
+                "rejected",
+                request=request.request_id,
+                method=request.method,
+                path=request.path,
+                status=status,
+                reason=reason,
+            ),
+        ]
+
+    def _calls_to(self, host_id: str) -> list[Pending]:
+        return [
+            pending
+            for pending in self.pending.values()
+            if pending.host_id == host_id
+        ]
+
+    def _close(self, pending: Pending) -> None:
+        del self.pending[pending.call_id]
+        self.by_number.pop(pending.request.number, None)
+        self.placement.peer(pending.host_id).own -= 1
+
+    def _cancel(self, pending: Pending) -> events.Send:
+        return events.Send(
+            pending.host_id, base_messages.Cancel(pending.call_id)
+        )
+
+    def _rebuild_timers(self) -> None:
+        self.timers = [
+            timer for timer in self.timers if timer[1] in self.pending
+        ]
+        heapq.heapify(self.timers)
+
+    def _log(
+        self, event: str, pending: Pending, now: float, **values: Any
+    ) -> events.Log:
+        peer = self.placement.peer(pending.host_id)
+        return events.Log(
+            event,
+            request=pending.request.request_id,
+            route=pending.route.name,
+            service=pending.service,
+            host=pending.host_id,
+            target=pending.target_id,
+            load=round(peer.load, 1),
+            limit=peer.limit,
+            load_age=round(min(now - peer.reported_at, 99.0), 3),
+            runs=pending.runs,
+            refusals=pending.refusals,
+            remaining=round(pending.deadline - now, 3),
+            took=round(now - pending.request.received_at, 4),
+            **values,
+        )
+
+
+def _is_load(values: list[Any]) -> bool:
+    return (
+        len(values) >= 3
+        and all(type(value) is int for value in values)
+        and min(values) >= 0
+    )
+
+
+def bounded_remaining(message: messages.Forward) -> float:
+    """Return the remaining time of a call, at most the longest allowed."""
+    if math.isnan(message.remaining):
+        return 0.0
+    return min(message.remaining, deadlines.MAX_CALL_SECONDS)
--- /dev/null
+++ b/src/hickorythread/mesh/events.py
@@ -0,0 +1,198 @@
+"""Events that the planes of a sidecar take and actions that they return."""
+
+from typing import Any
+
+from hickorythread import events
+from hickorythread import messages as base_messages
+from hickorythread.mesh import messages
+
+Record = events.Record
+Log = events.Log
+
+
+class Request(Record):
+    """Hold a client's request at the node that it reached.
+
+    request_id is the client's id of this attempt, number the node's own.
+    received_at is monotonic seconds, remaining the client's patience in
+    seconds, None if it names none.
+    """
+
+    __slots__ = (
+        "number",
+        "request_id",
+        "method",
+        "host",
+        "path",
+        "headers",
+        "body",
+        "received_at",
+        "remaining",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        request_id: str,
+        method: str,
+        host: str,
+        path: str,
+        headers: list[list[str]],
+        body: bytes,
+        received_at: float,
+        remaining: float | None,
+    ) -> None:
+        self.number = number
+        self.request_id = request_id
+        self.method = method
+        self.host = host
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.received_at = received_at
+        self.remaining = remaining
+
+
+class Response(Record):
+    """Hold the answer to a client.
+
+    from_target tells the target's own answers from those of the node.
+    """
+
+    __slots__ = (
+        "status",
+        "headers",
+        "body",
+        "reason",
+        "retry_after",
+        "from_target",
+    )
+
+    def __init__(
+        self,
+        status: int,
+        headers: list[Any],
+        body: bytes,
+        reason: str = "",
+        retry_after: float = 0.0,
+        from_target: bool = False,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.reason = reason
+        self.retry_after = retry_after
+        self.from_target = from_target
+
+
+class Answer(Record):
+    """Hold a complete response of the target.
+
+    not_run is True if the target states that it did not run the request;
+    instance is the id that it reports, empty if it reports none; warmup is
+    how long it stays cold in seconds, None if it does not say.
+    """
+
+    __slots__ = (
+        "status",
+        "headers",
+        "body",
+        "not_run",
+        "instance",
+        "warmup",
+    )
+
+    def __init__(
+        self,
+        status: int,
+        headers: list[Any],
+        body: bytes,
+        not_run: bool = False,
+        instance: str = "",
+        warmup: float | None = None,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.not_run = not_run
+        self.instance = instance
+        self.warmup = warmup
+
+
+class Failure(Record):
+    """Report a run without a response.
+
+    kind is "late", "stale" or "connect" if nothing was sent, "lost",
+    "timeout" or "cancelled" if the request may have run.
+    """
+
+    __slots__ = ("kind", "detail")
+
+    def __init__(self, kind: str, detail: str = "") -> None:
+        self.kind = kind
+        self.detail = detail
+
+
+class Send(Record):
+    """Send a message to the node of a host, which may be this one."""
+
+    __slots__ = ("host_id", "message")
+
+    def __init__(self, host_id: str, message: base_messages.Message) -> None:
+        self.host_id = host_id
+        self.message = message
+
+
+class Broadcast(Record):
+    """Send a message to all connected nodes."""
+
+    __slots__ = ("message",)
+
+    def __init__(self, message: base_messages.Message) -> None:
+        self.message = message
+
+
+class Respond(Record):
+    """Answer a client."""
+
+    __slots__ = ("number", "response")
+
+    def __init__(self, number: int, response: Response) -> None:
+        self.number = number
+        self.response = response
+
+
+class Run(Record):
+    """Send a request to the target on this host before its deadline."""
+
+    __slots__ = ("run_id", "call", "instance", "deadline")
+
+    def __init__(
+        self,
+        run_id: int,
+        call: messages.Forward,
+        instance: str,
+        deadline: float,
+    ) -> None:
+        self.run_id = run_id
+        self.call = call
+        self.instance = instance
+        self.deadline = deadline
+
+
+class CancelRun(Record):
+    """Break the connection of a run, so that the target drops it."""
+
+    __slots__ = ("run_id",)
+
+    def __init__(self, run_id: int) -> None:
+        self.run_id = run_id
+
+
+class Probe(Record):
+    """Ask the target on this host for its id and its warm-up."""
+
+    __slots__ = ("health_path",)
+
+    def __init__(self, health_path: str) -> None:
+        self.health_path = health_path
--- /dev/null
+++ b/src/hickorythread/mesh/messages.py
@@ -0,0 +1,160 @@
+"""Messages between sidecars; the order of the slots is the wire order."""
+
+from typing import Any
+
+from hickorythread import messages
+
+COMPLETE = messages.COMPLETE
+NOT_RUN = messages.NOT_RUN
+UNKNOWN = messages.UNKNOWN
+
+
+class Forward(messages.Message):
+    """Ask the node beside a target to run a request at it.
+
+    remaining is the time in seconds until the answer is due, objective the
+    time in seconds until it is late; priority 0 is the highest.
+    """
+
+    __slots__ = (
+        "call_id",
+        "request_id",
+        "service",
+        "route",
+        "method",
+        "path",
+        "headers",
+        "body",
+        "remaining",
+        "objective",
+        "idempotent",
+        "priority",
+        "caller_service",
+    )
+    code = 40
+    types = (
+        int,
+        str,
+        str,
+        str,
+        str,
+        str,
+        list,
+        bytes,
+        float,
+        float,
+        bool,
+        int,
+        str,
+    )
+
+    def __init__(
+        self,
+        call_id: int,
+        request_id: str,
+        service: str,
+        route: str,
+        method: str,
+        path: str,
+        headers: list[Any],
+        body: bytes,
+        remaining: float,
+        objective: float,
+        idempotent: bool,
+        priority: int,
+        caller_service: str,
+    ) -> None:
+        self.call_id = call_id
+        self.request_id = request_id
+        self.service = service
+        self.route = route
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.remaining = remaining
+        self.objective = objective
+        self.idempotent = idempotent
+        self.priority = priority
+        self.caller_service = caller_service
+
+
+class TargetState(messages.Message):
+    """Announce whether the target beside the sender takes new work.
+
+    load holds running and waiting requests and the limit.
+    """
+
+    __slots__ = ("service", "usable", "reason", "load")
+    code = 41
+    types = (str, bool, str, list)
+
+    def __init__(
+        self, service: str, usable: bool, reason: str, load: list[int]
+    ) -> None:
+        self.service = service
+        self.usable = usable
+        self.reason = reason
+        self.load = load
+
+
+class ViewRequest(messages.Message):
+    """Ask for what is newer than the sender's view of the mesh."""
+
+    __slots__ = ("version", "revision", "operator_revision")
+    code = 42
+    types = (int, int, int)
+
+    def __init__(
+        self, version: int, revision: int, operator_revision: int
+    ) -> None:
+        self.version = version
+        self.revision = revision
+        self.operator_revision = operator_revision
+
+
+class ViewReply(messages.Message):
+    """Carry the parts of a view that are newer, compressed.
+
+    configuration and targets are empty if the asker's are as new.
+    """
+
+    __slots__ = (
+        "configuration",
+        "targets",
+        "revision",
+        "evacuated",
+        "operator_revision",
+    )
+    code = 43
+    types = (bytes, bytes, int, list, int)
+
+    def __init__(
+        self,
+        configuration: bytes,
+        targets: bytes,
+        revision: int,
+        evacuated: list[str],
+        operator_revision: int,
+    ) -> None:
+        self.configuration = configuration
+        self.targets = targets
+        self.revision = revision
+        self.evacuated = evacuated
+        self.operator_revision = operator_revision
+
+
+class Crashed(messages.Message):
+    """Report that a target crashed while it ran a request."""
+
+    __slots__ = ("fingerprint", "victim")
+    code = 44
+    types = (bytes, str)
+
+    def __init__(self, fingerprint: bytes, victim: str) -> None:
+        self.fingerprint = fingerprint
+        self.victim = victim
+
+
+for _message in (Forward, TargetState, ViewRequest, ViewReply, Crashed):
+    messages.BY_CODE[_message.code] = _message
--- /dev/null
+++ b/src/hickorythread/mesh/models.py
@@ -0,0 +1,204 @@
+"""What a sidecar knows of the mesh; every object is replaced, not changed."""
+
+from typing import Any
+
+from hickorythread import utils
+
+
+class Value:
+    """Base of plain data; compares and prints by value."""
+
+    __slots__: tuple[str, ...] = ()
+
+    def values(self) -> list[Any]:
+        """Return the fields in order."""
+        return [getattr(self, name) for name in self.__slots__]
+
+    def __eq__(self, other: object) -> bool:
+        return type(self) is type(other) and (self.values() == other.values())
+
+    def __repr__(self) -> str:
+        shown = ", ".join(
+            f"{name}={getattr(self, name)!r:.60}" for name in self.__slots__
+        )
+        return f"{type(self).__name__}({shown})"
+
+
+class Route(Value):
+    """Say where requests of one host and path prefix go.
+
+    destinations pairs services with weights; no home region means that any
+    region may serve the route. Times are in seconds; priority 0 is highest.
+    """
+
+    __slots__ = (
+        "name",
+        "host",
+        "prefix",
+        "destinations",
+        "idempotent",
+        "timeout",
+        "objective",
+        "attempts",
+        "priority",
+        "home_regions",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        prefix: str,
+        destinations: list[tuple[str, float]],
+        idempotent: bool,
+        timeout: float,
+        objective: float,
+        attempts: int,
+        priority: int,
+        home_regions: list[str],
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.destinations = [(name, weight) for name, weight in destinations]
+        self.idempotent = idempotent
+        self.timeout = timeout
+        self.objective = objective
+        self.attempts = attempts
+        self.priority = priority
+        self.home_regions = home_regions
+
+    def allows(self, region: str) -> bool:
+        """Return whether a region may serve the route."""
+        return not self.home_regions or region in self.home_regions
+
+
+class Service(Value):
+    """Describe the targets of one service.
+
+    A target that has just started takes warmup_rate requests per second for
+    warmup_seconds.
+    """
+
+    __slots__ = (
+        "name",
+        "health_path",
+        "connections",
+        "warmup_seconds",
+        "warmup_rate",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        health_path: str,
+        connections: int,
+        warmup_seconds: float,
+        warmup_rate: float,
+    ) -> None:
+        self.name = name
+        self.health_path = health_path
+        self.connections = connections
+        self.warmup_seconds = warmup_seconds
+        self.warmup_rate = warmup_rate
+
+
+class Limits(Value):
+    """Bound what a client may send; times are in seconds."""
+
+    __slots__ = ("header_bytes", "body_bytes", "header_time", "idle_time")
+
+    def __init__(
+        self,
+        header_bytes: int,
+        body_bytes: int,
+        header_time: float,
+        idle_time: float,
+    ) -> None:
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_time = header_time
+        self.idle_time = idle_time
+
+
+class Configuration(Value):
+    """Hold one version of the whole mesh configuration."""
+
+    __slots__ = ("version", "routes", "services", "limits")
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        services: dict[str, Service],
+        limits: Limits,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = services
+        self.limits = limits
+
+    def pack(self) -> list[Any]:
+        """Return plain lists for a message."""
+        return [
+            self.version,
+            [route.values() for route in self.routes],
+            [service.values() for service in self.services.values()],
+            self.limits.values(),
+        ]
+
+    @classmethod
+    def unpack(cls, values: list[Any]) -> "Configuration":
+        """Reverse pack; raises TypeError or ValueError if malformed."""
+        version, routes, services, limits = values
+        built = [Service(*fields) for fields in services]
+        return cls(
+            version,
+            [Route(*fields) for fields in routes],
+            {service.name: service for service in built},
+            Limits(*limits),
+        )
+
+
+class Target(Value):
+    """Describe one target as it registered itself.
+
+    warmup_seconds is how long it stays slow, counted from its last report;
+    started_at_ms is the Unix time of its start, 0 if it does not say.
+    """
+
+    __slots__ = (
+        "id",
+        "service",
+        "address",
+        "failure_domain",
+        "slots",
+        "draining",
+        "warmup_seconds",
+        "started_at_ms",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        service: str,
+        address: str,
+        failure_domain: str,
+        slots: int,
+        draining: bool,
+        warmup_seconds: float = 0.0,
+        started_at_ms: int = 0,
+    ) -> None:
+        self.id = id
+        self.service = service
+        self.address = address
+        self.failure_domain = failure_domain
+        self.slots = slots
+        self.draining = draining
+        self.warmup_seconds = warmup_seconds
+        self.started_at_ms = started_at_ms
+
+    @property
+    def host_id(self) -> str:
+        """Return the IP of the host, which also names its sidecar."""
+        return utils.split_address(self.address)[0]
--- /dev/null
+++ b/src/hickorythread/mesh/node.py
@@ -0,0 +1,668 @@
+"""One sidecar: connects the planes to the tasks that own the sockets."""
+
+from collections.abc import Callable
+import gc
+import random
+import signal
+import sys
+import time
+import traceback
+from typing import Any
+
+import eventlet
+from eventlet import event as eventlet_event
+from eventlet import hubs
+
+from hickorythread import codec
+from hickorythread import events as base_events
+from hickorythread import exceptions
+from hickorythread import interfaces as base_interfaces
+from hickorythread import logs
+from hickorythread import messages as base_messages
+from hickorythread import metrics
+from hickorythread import server
+from hickorythread import streams
+from hickorythread import utils
+from hickorythread.mesh import entry
+from hickorythread.mesh import events
+from hickorythread.mesh import exchange
+from hickorythread.mesh import execution
+from hickorythread.mesh import ingress
+from hickorythread.mesh import interfaces
+from hickorythread.mesh import links
+from hickorythread.mesh import messages
+from hickorythread.mesh import settings as mesh_settings
+from hickorythread.mesh import target_client
+from hickorythread.mesh import view as mesh_view
+from hickorythread.mesh import watcher
+
+TICK_SECONDS = 0.02
+CLIENT_CHECK_SECONDS = 0.15
+LINK_CHECK_SECONDS = 0.2
+ASK_SECONDS = 0.5
+BEHIND_SECONDS = 0.5
+RECONNECT_MAX_SECONDS = 1.5
+FLUSH_SECONDS = 0.1
+FLUSH_LINES = 16
+# Clients keep coming until two questions about readiness were missed.
+MIN_DRAIN_SECONDS = 3.2
+QUIET_SECONDS = 0.6
+# What is accepted later could not be answered before the process is killed.
+ACCEPTING_SHARE = 0.62
+EXIT_MARGIN_SECONDS = 0.7
+EXIT_OK = 0
+EXIT_ADDRESS_IN_USE = 3
+EXIT_INVARIANT = 5
+
+
+class Waiter:
+    """Hold the task that waits for the response to one request."""
+
+    __slots__ = ("connected", "since", "task", "response", "done")
+
+    def __init__(self, connected: Callable[[], bool], since: float) -> None:
+        self.connected = connected
+        self.since = since
+        self.task: Any = None
+        self.response: events.Response | None = None
+        self.done = False
+
+    def wait(self) -> events.Response | None:
+        """Return the response, or None if the client left."""
+        if not self.done:
+            self.task = eventlet.getcurrent()
+            hubs.get_hub().switch()
+        return self.response
+
+    def deliver(self, response: events.Response | None) -> None:
+        """Hand over the response and wake the waiting task."""
+        self.response = response
+        self.done = True
+        if self.task is not None:
+            hubs.get_hub().schedule_call_global(0, self.task.switch)
+
+
+class Node:
+    """Run one sidecar until it is asked to stop."""
+
+    def __init__(
+        self,
+        settings: mesh_settings.Settings,
+        source: interfaces.Source,
+        dialect: interfaces.Dialect,
+        clock: base_interfaces.Clock,
+        random_source: random.Random,
+    ) -> None:
+        now = clock.monotonic()
+        self.settings = settings
+        self.dialect = dialect
+        self.clock = clock
+        self.random_source = random_source
+        self.view = mesh_view.View()
+        self.metrics = metrics.Metrics()
+        self.decisions = logs.set_up(
+            settings.name, self.version, settings.log_level, sys.stdout
+        )
+        self.request_duration = self.metrics.duration("request")
+        self.entry = entry.EntryPlane(settings, self.view, random_source)
+        self.execution = execution.ExecutionPlane(settings, self.view, now)
+        self.target = target_client.TargetClient(
+            settings.target_address, dialect, clock
+        )
+        bits = random_source.getrandbits(16)
+        self.incarnation = (time.time_ns() << 2) & ~0xFFFF | bits
+        self.streams = streams.Streams(
+            base_messages.Hello(
+                settings.host_id,
+                self.incarnation,
+                settings.region,
+                settings.failure_domain,
+                0,
+            ),
+            self,
+            self.version,
+            clock,
+            random_source,
+        )
+        self.streams.reconnect_max = RECONNECT_MAX_SECONDS
+        self.streams.socket_options = target_client.KEEPALIVE_OPTIONS
+        self.links = links.Links(
+            settings.host_id, settings.stream_port, self.streams, clock
+        )
+        self.watchers = [
+            watcher.Watcher(
+                topic, source, random_source, self.apply, self.source_changed
+            )
+            for topic in (interfaces.OPERATOR, interfaces.TARGETS)
+        ]
+        self.failing_topics: set[str] = set()
+        self.newer: tuple[str, int, float] | None = None
+        self.asked_at = 0.0
+        self.waiters: dict[int, Waiter] = {}
+        self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
+        self.last_number = 0
+        self.stopping = False
+        self.accepting = True
+        self.failure: BaseException | None = None
+        self.finished = eventlet_event.Event()
+        self.listeners: list[Any] = []
+        self.actions: dict[type, Callable[[Any], None]] = {
+            events.Send: self._send,
+            events.Broadcast: self._broadcast,
+            events.Respond: self._respond,
+            events.Run: self._run,
+            events.CancelRun: self._cancel_run,
+            events.Probe: self._probe,
+            events.Log: self._log,
+        }
+
+    # Life cycle.
+
+    def start(self) -> None:
+        """Bind all addresses and start the tasks.
+
+        Raises OSError if an address cannot be bound.
+        """
+        settings = self.settings
+        host_id = settings.host_id
+        self.streams.listen(f"{host_id}:{settings.stream_port}")
+        apps = (
+            (settings.request_address, ingress.RequestApp(self)),
+            (settings.readiness_address, ingress.ReadinessApp(self.ready)),
+            (
+                f"{host_id}:{settings.metrics_port}",
+                ingress.MetricsApp(self),
+            ),
+        )
+        for address, app in apps:
+            listener = eventlet.listen(
+                utils.split_address(address), reuse_port=False
+            )
+            self.listeners.append(listener)
+            self._spawn(self._serve, listener, app)
+        for follower in self.watchers:
+            self._spawn(follower.run)
+        for task in (
+            self._tick,
+            self._check_clients,
+            self._check_links,
+            self._flush,
+        ):
+            self._spawn(task)
+        logs.info("node_started", incarnation=self.incarnation)
+
+    def stop(self) -> None:
+        """Start a graceful shutdown; the node finishes what it runs."""
+        if self.stopping:
+            return
+        self.stopping = True
+        logs.info("node_draining", waiting=len(self.waiters))
+        self._spawn(self._drain)
+
+    def ready(self) -> bool:
+        """Return whether clients may use this node."""
+        return self.view.ready and not self.stopping
+
+    def _drain(self) -> None:
+        now = self.clock.monotonic()
+        self.perform(self.execution.stop(now))
+        grace = self.settings.grace_seconds
+        self._wait_until_quiet(now, ACCEPTING_SHARE * grace)
+        # No request is read any more; those that were are answered.
+        self.accepting = False
+        for listener in self.listeners:
+            listener.close()
+        latest = now + grace - EXIT_MARGIN_SECONDS
+        while self._is_busy() and self.clock.monotonic() < latest:
+            eventlet.sleep(TICK_SECONDS)
+        # Lets the last replies leave the socket buffers.
+        eventlet.sleep(TICK_SECONDS)
+        logs.info("node_stopped", unfinished=len(self.waiters))
+        self._finish(None)
+
+    def _wait_until_quiet(self, since: float, longest: float) -> None:
+        """Serve clients until none has come for a while."""
+        quiet_since = since
+        while (now := self.clock.monotonic()) < since + longest:
+            if self._is_busy():
+                quiet_since = now
+            if (
+                now - since >= MIN_DRAIN_SECONDS
+                and now - quiet_since >= QUIET_SECONDS
+            ):
+                return
+            eventlet.sleep(TICK_SECONDS)
+
+    def _is_busy(self) -> bool:
+        return bool(self.waiters) or not self.execution.idle
+
+    def _serve(self, listener: Any, app: Any) -> None:
+        try:
+            server.serve(listener, app)
+        except OSError:
+            # The listener is closed to stop it.
+            if self.accepting:
+                raise
+
+    def _finish(self, failure: BaseException | None) -> None:
+        if not self.finished.ready():
+            self.failure = failure
+            self.finished.send()
+
+    def _spawn(self, task: Callable[..., Any], *arguments: Any) -> None:
+        eventlet.spawn_n(self.guard, task, *arguments)
+
+    def guard(self, task: Callable[..., Any], *arguments: Any) -> None:
+        """Run a task; a broken invariant or a defect stops the node."""
+        try:
+            task(*arguments)
+        except Exception as error:
+            logs.error(
+                "task_failed",
+                error=f"{type(error).__name__}: {error}",
+                trace=traceback.format_exc(limit=-3),
+            )
+            self._finish(error)
+
+    # Tasks.
+
+    def _tick(self) -> None:
+        while True:
+            eventlet.sleep(TICK_SECONDS)
+            now = self.clock.monotonic()
+            expired = self.view.expire(now)
+            if expired:
+                logs.info("targets_lapsed", count=len(expired))
+                self._view_changed(frozenset())
+            self.perform(self.entry.tick(now))
+            self.perform(self.execution.tick(now))
+
+    def _check_clients(self) -> None:
+        """Cancel the requests of clients that have disconnected."""
+        while True:
+            eventlet.sleep(CLIENT_CHECK_SECONDS)
+            now = self.clock.monotonic()
+            limit = now - CLIENT_CHECK_SECONDS
+            for number, waiter in list(self.waiters.items()):
+                if waiter.done or waiter.since > limit:
+                    continue
+                if not waiter.connected():
+                    del self.waiters[number]
+                    self.perform(self.entry.client_gone(number, now))
+                    waiter.deliver(None)
+
+    def _check_links(self) -> None:
+        while True:
+            eventlet.sleep(LINK_CHECK_SECONDS)
+            now = self.clock.monotonic()
+            for host_id in self.links.to_open(now):
+                self.streams.send(host_id, exchange.ask(self.view))
+            for host_id, silent in self.links.check(
+                self.entry.oldest_calls(), now
+            ):
+                self.perform(self.entry.peer_silent(host_id, silent, now))
+            self._ask_if_behind(now)
+
+    def _ask_if_behind(self, now: float) -> None:
+        """Ask a peer for its view while the source does not answer."""
+        if now - self.asked_at < ASK_SECONDS:
+            return
+        host_id = ""
+        if self.failing_topics or not self.view.ready:
+            connected = sorted(self.streams.by_host)
+            if connected:
+                host_id = self.random_source.choice(connected)
+        elif self.newer is not None:
+            newer_host, version, seen_at = self.newer
+            if version <= self.view.version:
+                self.newer = None
+            elif now - seen_at >= BEHIND_SECONDS:
+                host_id = newer_host
+        if host_id:
+            self.asked_at = now
+            self.streams.send(host_id, exchange.ask(self.view))
+
+    def _flush(self) -> None:
+        """Write decision lines and metrics off the request path."""
+        while True:
+            eventlet.sleep(FLUSH_SECONDS)
+            # Other tasks run between batches.
+            while self.decisions.flush(sys.stdout, FLUSH_LINES) == FLUSH_LINES:
+                eventlet.sleep(0)
+            self.metrics.flush()
+            self.target.expire(self.clock.monotonic())
+
+    # The view.
+
+    def apply(
+        self, topic: str, reading: interfaces.Reading, complete: bool
+    ) -> None:
+        """Take what the source says of a topic."""
+        now = self.clock.monotonic()
+        before = self.view.evacuated
+        if topic == interfaces.OPERATOR:
+            self._apply_operator(reading, complete)
+        else:
+            self._apply_targets(reading, complete, now)
+        self._view_changed(before)
+
+    def _apply_operator(
+        self, reading: interfaces.Reading, complete: bool
+    ) -> None:
+        evacuated = set() if complete else set(self.view.evacuated)
+        for change in reading.changes:
+            if isinstance(change, interfaces.PutConfiguration):
+                if self.view.put_configuration(change.configuration):
+                    logs.info(
+                        "version_in_force",
+                        version=self.view.version,
+                        routes=len(change.configuration.routes),
+                        origin="source",
+                    )
+            elif isinstance(change, interfaces.SetEvacuated):
+                if change.evacuated:
+                    evacuated.add(change.failure_domain)
+                else:
+                    evacuated.discard(change.failure_domain)
+        self._put_evacuated(frozenset(evacuated), reading.revision)
+
+    def _put_evacuated(self, domains: frozenset[str], revision: int) -> None:
+        if self.view.put_evacuated(domains, revision):
+            logs.info(
+                "evacuation_changed", domains=",".join(sorted(domains)) or "-"
+            )
+
+    def _apply_targets(
+        self, reading: interfaces.Reading, complete: bool, now: float
+    ) -> None:
+        puts = {
+            change.target.id: change.target
+            for change in reading.changes
+            if isinstance(change, interfaces.PutTarget)
+        }
+        if complete:
+            self.view.replace_targets(puts, reading.revision, now)
+        else:
+            for change in reading.changes:
+                if isinstance(change, interfaces.PutTarget):
+                    self.view.put_target(change.target)
+                elif isinstance(change, interfaces.RemoveTarget):
+                    self.view.remove_target(change.target_id, now)
+            self.view.revision = max(self.view.revision, reading.revision)
+        logs.info(
+            "targets_changed",
+            changes=len(reading.changes),
+            targets=len(self.view.targets),
+            revision=self.view.revision,
+        )
+
+    def _view_changed(self, evacuated_before: frozenset[str]) -> None:
+        now = self.clock.monotonic()
+        domain = self.settings.failure_domain
+        returned = (
+            domain in evacuated_before and domain not in self.view.evacuated
+        )
+        host_ids = {target.host_id for target in self.view.targets.values()}
+        self.links.want(host_ids)
+        self.entry.view_changed()
+        self.entry.placement.keep_only(host_ids)
+        self.perform(self.execution.view_changed(returned, now))
+
+    def source_changed(self, topic: str, kind: str) -> None:
+        """Note that the source fails, or answers again if kind is empty."""
+        if kind:
+            self.failing_topics.add(topic)
+            logs.warning("source_lost", topic=topic, kind=kind)
+            return
+        self.failing_topics.discard(topic)
+        self.view.source_returned(self.clock.monotonic())
+        logs.info("source_regained", topic=topic)
+
+    # Actions.
+
+    def perform(self, actions: list[Any]) -> None:
+        """Carry out actions in order."""
+        for action in actions:
+            self.actions[type(action)](action)
+
+    def _send(self, action: events.Send) -> None:
+        message: Any = action.message
+        host_id = action.host_id
+        now = self.clock.monotonic()
+        if isinstance(message, base_messages.Reply):
+            if host_id == self.settings.host_id:
+                self.perform(self.entry.reply(host_id, message, now))
+                return
+            # A reply goes only to the stream that carried its call, so that
+            # a restarted entry node never gets the answers of the last one.
+            key = (host_id, message.call_id)
+            stream = self.reply_streams.pop(key, None)
+            if stream is None or not stream.send(message):
+                self.metrics.count("replies_without_stream")
+        elif host_id == self.settings.host_id:
+            self._send_to_self(message, now)
+        else:
+            stream = self.streams.find(host_id)
+            if stream is None or not stream.send(message):
+                self._spawn(self.stream_closed, host_id, "not connected")
+
+    def _send_to_self(self, message: Any, now: float) -> None:
+        host_id = self.settings.host_id
+        if isinstance(message, messages.Forward):
+            self.perform(self.execution.call(host_id, message, now))
+        elif isinstance(message, base_messages.Cancel):
+            self.perform(self.execution.cancel(host_id, message.call_id, now))
+
+    def _broadcast(self, action: events.Broadcast) -> None:
+        if isinstance(action.message, messages.TargetState):
+            peer = self.entry.placement.peer(self.settings.host_id)
+            peer.usable = action.message.usable
+        for host_id in list(self.streams.by_host):
+            self.streams.send(host_id, action.message)
+
+    def _respond(self, action: events.Respond) -> None:
+        waiter = self.waiters.pop(action.number, None)
+        if waiter is None:
+            self.metrics.count("responses_without_client")
+        else:
+            status = str(action.response.status)
+            self.metrics.count(
+                "responses", status=status, reason=action.response.reason
+            )
+            waiter.deliver(action.response)
+
+    def _run(self, action: events.Run) -> None:
+        self._spawn(self._work, action)
+
+    def _work(self, action: events.Run) -> None:
+        result = self.target.run(action)
+        now = self.clock.monotonic()
+        if isinstance(result, events.Answer):
+            actions = self.execution.answered(action.run_id, result, now)
+        else:
+            actions = self.execution.failed(action.run_id, result, now)
+        self.perform(actions)
+
+    def _cancel_run(self, action: events.CancelRun) -> None:
+        self.target.cancel(action.run_id)
+
+    def _probe(self, action: events.Probe) -> None:
+        self._spawn(self._work_probe, action)
+
+    def _work_probe(self, action: events.Probe) -> None:
+        self.target.drop_idle()
+        result = self.target.probe(action.health_path)
+        now = self.clock.monotonic()
+        self.perform(self.execution.probed(result, now))
+
+    def _log(self, action: base_events.Log) -> None:
+        self.metrics.count(action.event)
+        self.decisions.add(action.event, action.values)
+
+    # Streams.
+
+    def stream_opened(self, peer: base_events.Peer) -> None:
+        """Exchange states with a node that can be reached."""
+        self.entry.peer_connected(peer.host_id)
+        self.streams.send(peer.host_id, self.execution.state())
+        if not self.view.ready:
+            self.streams.send(peer.host_id, exchange.ask(self.view))
+        logs.info("peer_connected", host=peer.host_id)
+
+    def stream_closed(self, host_id: str, reason: str) -> None:
+        """Settle what a lost stream carried."""
+        now = self.clock.monotonic()
+        for key in [key for key in self.reply_streams if key[0] == host_id]:
+            if self.reply_streams[key].closed:
+                del self.reply_streams[key]
+        if self.streams.find(host_id) is not None:
+            # Calls on the closed stream get no reply on another one.
+            reason = f"one of several: {reason}"
+        known = host_id in self.entry.placement.connected
+        self.perform(self.entry.peer_lost(host_id, now))
+        self.perform(self.execution.peer_lost(host_id, now))
+        if self.streams.find(host_id) is not None:
+            self.entry.peer_connected(host_id)
+        if known:
+            logs.info("peer_lost", host=host_id, reason=reason)
+
+    def message_received(
+        self, stream: streams.Stream, received: codec.Received
+    ) -> None:
+        """Dispatch a message to the plane that handles it."""
+        message: Any = received.message
+        peer = stream.peer
+        if peer is None:
+            raise exceptions.InvariantError("message before the greeting")
+        now = self.clock.monotonic()
+        host_id = peer.host_id
+        kind = type(message)
+        if kind is base_messages.Reply:
+            self.perform(self.entry.reply(host_id, message, now))
+        elif kind is messages.Forward:
+            self.reply_streams[host_id, message.call_id] = stream
+            message.remaining = entry.bounded_remaining(message)
+            self.perform(self.execution.call(host_id, message, now))
+        elif kind is base_messages.Cancel:
+            self.perform(self.execution.cancel(host_id, message.call_id, now))
+        elif kind is messages.TargetState:
+            self.perform(self.entry.target_state(host_id, message, now))
+        elif kind is messages.ViewRequest:
+            reply = exchange.answer(self.view, message)
+            if reply is not None:
+                stream.send(reply)
+        elif kind is messages.ViewReply:
+            self._apply_view(host_id, message, now)
+        elif kind is messages.Crashed:
+            self.execution.crashed(message, now)
+        if received.version > self.view.version:
+            self._note_newer(host_id, received.version, now)
+
+    def _note_newer(self, host_id: str, version: int, now: float) -> None:
+        if self.newer is None:
+            self.newer = (host_id, version, now)
+        elif version > self.newer[1]:
+            self.newer = (host_id, version, self.newer[2])
+
+    def _apply_view(
+        self, host_id: str, message: messages.ViewReply, now: float
+    ) -> None:
+        before = self.view.evacuated
+        result = exchange.apply(self.view, message, now)
+        if result.is_error():
+            self.message_refused(host_id, result.error)
+        elif result.ok:
+            logs.info(
+                "view_from_peer",
+                host=host_id,
+                version=self.view.version,
+                revision=self.view.revision,
+            )
+            self._view_changed(before)
+
+    def message_refused(
+        self, address: str, error: exceptions.DecodeError
+    ) -> None:
+        """Count and log input that the codec refused."""
+        self.metrics.count(f"refused_{error.kind}")
+        logs.warning(
+            "message_refused",
+            address=address,
+            kind=error.kind,
+            message=error.message,
+        )
+
+    # Clients and operators.
+
+    def version(self) -> int:
+        """Return the configuration version in force."""
+        return self.view.version
+
+    def next_number(self) -> int:
+        """Return a request number that this process has not used."""
+        self.last_number += 1
+        return self.last_number
+
+    def submit(
+        self, request: events.Request, connected: Callable[[], bool]
+    ) -> events.Response | None:
+        """Run a request; returns None if the client left meanwhile."""
+        now = self.clock.monotonic()
+        waiter = Waiter(connected, now)
+        self.waiters[request.number] = waiter
+        self.perform(self.entry.request(request, now))
+        response = waiter.wait()
+        if response is not None:
+            elapsed = self.clock.monotonic() - request.received_at
+            self.request_duration.record(elapsed)
+        return response
+
+    def status(self) -> dict[str, Any]:
+        """Return what this node believes, for operators."""
+        return {
+            "version": self.view.version,
+            "revision": self.view.revision,
+            "targets": len(self.view.targets),
+            "evacuated": sorted(self.view.evacuated),
+            "connected": sorted(self.streams.by_host),
+            "failing": sorted(self.failing_topics),
+            "instance": self.execution.instance,
+            "load": self.execution.admission.load(),
+        }
+
+    def render_metrics(self) -> bytes:
+        """Return counters, gauges and durations as Prometheus text."""
+        running, waiting, limit = self.execution.admission.load()
+        self.metrics.set("target_running", running)
+        self.metrics.set("target_waiting", waiting)
+        self.metrics.set("target_limit", limit)
+        self.metrics.set("configuration_version", self.view.version)
+        self.metrics.set("targets", len(self.view.targets))
+        return self.metrics.render()
+
+
+def run(
+    settings: mesh_settings.Settings,
+    source: interfaces.Source,
+    dialect: interfaces.Dialect,
+) -> int:
+    """Run a sidecar until SIGTERM or SIGINT; return the exit code."""
+    node = Node(
+        settings, source, dialect, utils.SystemClock(), random.Random()
+    )
+    try:
+        node.start()
+    except OSError as error:
+        logs.error("address_in_use", error=str(error))
+        return EXIT_ADDRESS_IN_USE
+    hub = hubs.get_hub()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # The hub runs the stop between tasks, not in the middle of one.
+        signal.signal(
+            number, lambda *_: hub.schedule_call_global(0, node.stop)
+        )
+    gc.collect()
+    gc.freeze()
+    node.finished.wait()
+    node.decisions.flush(sys.stdout, logs.MAX_DECISIONS)
+    return EXIT_OK if node.failure is None else EXIT_INVARIANT
--- /dev/null
+++ b/src/hickorythread/mesh/placement.py
@@ -0,0 +1,177 @@
+"""Choose the target of a request by load, distance and failures."""
+
+from collections.abc import Collection
+import math
+
+from hickorythread import interfaces
+from hickorythread.mesh import models
+
+# Distances are in units of a full target: a nearer target is preferred
+# until it is fuller than one farther away by this share of its limit.
+SAME_HOST = 0.0
+SAME_DOMAIN = 0.05
+SAME_REGION = 0.4
+OTHER_REGION = 0.6
+FAILURE_WEIGHT = 1.5
+FAILURE_SMOOTHING = 0.15
+FAILURE_HALF_LIFE_SECONDS = 2.0
+LOAD_HALF_LIFE_SECONDS = 1.0
+UNKNOWN_LOAD_SHARE = 0.4
+JITTER = 0.05
+
+
+class Peer:
+    """Hold what this node knows of the load of one target.
+
+    load is running and waiting work at reported_at; sent counts the calls
+    sent since then, own those without an answer.
+    """
+
+    __slots__ = (
+        "limit",
+        "load",
+        "reported_at",
+        "sent",
+        "own",
+        "failures",
+        "failed_at",
+        "aside_until",
+        "usable",
+        "silent",
+    )
+
+    def __init__(self) -> None:
+        self.limit = 0
+        self.load = 0.0
+        self.reported_at = -math.inf
+        self.sent = 0
+        self.own = 0
+        self.failures = 0.0
+        self.failed_at = 0.0
+        self.aside_until = 0.0
+        self.usable = True
+        self.silent = False
+
+    def report(self, load: list[int], now: float) -> None:
+        """Take the load that a reply or an announcement carries."""
+        running, waiting, limit = load[:3]
+        self.load = float(running + waiting)
+        self.limit = max(1, limit)
+        self.reported_at = now
+        self.sent = 0
+
+    def expected_load(self, slots: int, now: float) -> float:
+        """Return running and waiting work, estimated from the last report."""
+        limit = self.limit or slots
+        prior = UNKNOWN_LOAD_SHARE * limit
+        age = now - self.reported_at
+        trust = math.exp2(-age / LOAD_HALF_LIFE_SECONDS)
+        estimate = trust * self.load + (1.0 - trust) * min(prior, self.load)
+        if self.limit == 0:
+            estimate = prior
+        return max(estimate + self.sent, float(self.own))
+
+    def note(self, failed: bool, now: float) -> None:
+        """Note whether a call failed at the target."""
+        current = self.failure_share(now)
+        self.failures = current + FAILURE_SMOOTHING * (failed - current)
+        self.failed_at = now
+
+    def failure_share(self, now: float) -> float:
+        """Return the recent share of failures, fading with time."""
+        age = now - self.failed_at
+        return self.failures * math.exp2(-age / FAILURE_HALF_LIFE_SECONDS)
+
+
+class Placement:
+    """Choose among the targets of a service."""
+
+    def __init__(
+        self,
+        host_id: str,
+        failure_domain: str,
+        regions: dict[str, str],
+        random_source: interfaces.RandomSource,
+    ) -> None:
+        self.host_id = host_id
+        self.failure_domain = failure_domain
+        self.regions = regions
+        self.region = regions.get(failure_domain, "")
+        self.random_source = random_source
+        self.peers: dict[str, Peer] = {}
+        self.connected: set[str] = {host_id}
+
+    def peer(self, host_id: str) -> Peer:
+        """Return what is known of a host, new if nothing is."""
+        peer = self.peers.get(host_id)
+        if peer is None:
+            peer = self.peers[host_id] = Peer()
+        return peer
+
+    def choose(
+        self,
+        targets: Collection[models.Target],
+        route: models.Route,
+        evacuated: frozenset[str],
+        excluded: Collection[str],
+        now: float,
+    ) -> models.Target | None:
+        """Return the best target that may serve the route, or None."""
+        best: models.Target | None = None
+        best_score = math.inf
+        for target in targets:
+            if not self.usable(target, route, evacuated, now):
+                continue
+            if target.host_id in excluded:
+                continue
+            score = self.score(target, now)
+            score += JITTER * self.random_source.random()
+            if score < best_score:
+                best, best_score = target, score
+        return best
+
+    def usable(
+        self,
+        target: models.Target,
+        route: models.Route,
+        evacuated: frozenset[str],
+        now: float,
+    ) -> bool:
+        """Return whether a request of the route may be sent to a target."""
+        host_id = target.host_id
+        if target.draining or target.failure_domain in evacuated:
+            return False
+        if host_id not in self.connected:
+            return False
+        region = self.regions.get(target.failure_domain, "")
+        if not route.allows(region):
+            return False
+        peer = self.peer(host_id)
+        return peer.usable and not peer.silent and now >= peer.aside_until
+
+    def score(self, target: models.Target, now: float) -> float:
+        """Return how costly the target is; the lowest score is best."""
+        peer = self.peer(target.host_id)
+        limit = peer.limit or target.slots
+        load = (peer.expected_load(target.slots, now) + 1) / limit
+        failures = FAILURE_WEIGHT * peer.failure_share(now)
+        return load + failures + self.distance(target)
+
+    def distance(self, target: models.Target) -> float:
+        """Return the cost of the way to a target."""
+        if target.host_id == self.host_id:
+            return SAME_HOST
+        if target.failure_domain == self.failure_domain:
+            return SAME_DOMAIN
+        region = self.regions.get(target.failure_domain, "")
+        return SAME_REGION if region == self.region else OTHER_REGION
+
+    def set_aside(self, host_id: str, seconds: float, now: float) -> None:
+        """Send nothing to a host for some time."""
+        self.peer(host_id).aside_until = now + seconds
+
+    def keep_only(self, host_ids: set[str]) -> None:
+        """Forget the hosts that no target names."""
+        for host_id in self.peers.keys() - host_ids - {self.host_id}:
+            if not self.peers[host_id].own:
+                del self.peers[host_id]
--- /dev/null
+++ b/src/hickorythread/mesh/settings.py
@@ -0,0 +1,78 @@
+"""Settings of one sidecar."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import expression
+
+from hickorythread import exceptions
+from hickorythread import schemas
+
+
+class Settings:
+    """Hold the checked settings of one sidecar.
+
+    host_id is the IP address of the host, regions maps failure domains to
+    their regions; addresses are IP:port.
+    """
+
+    __slots__ = (
+        "name",
+        "host_id",
+        "failure_domain",
+        "regions",
+        "service",
+        "target_address",
+        "request_address",
+        "readiness_address",
+        "stream_port",
+        "metrics_port",
+        "source_address",
+        "grace_seconds",
+        "log_level",
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        failure_domain: str,
+        regions: Mapping[str, str],
+        service: str,
+        target_address: str,
+        request_address: str,
+        readiness_address: str,
+        stream_port: int,
+        metrics_port: int,
+        source_address: str,
+        grace_seconds: float,
+        name: str = "",
+        log_level: str = "info",
+    ) -> None:
+        self.name = name or host_id
+        self.host_id = host_id
+        self.failure_domain = failure_domain
+        self.regions = dict(regions)
+        self.service = service
+        self.target_address = target_address
+        self.request_address = request_address
+        self.readiness_address = readiness_address
+        self.stream_port = stream_port
+        self.metrics_port = metrics_port
+        self.source_address = source_address
+        self.grace_seconds = grace_seconds
+        self.log_level = log_level
+
+    @property
+    def region(self) -> str:
+        """Return the region of the failure domain."""
+        return self.regions.get(self.failure_domain, "")
+
+    @classmethod
+    def from_config(
+        cls, document: Mapping[str, Any]
+    ) -> expression.Result["Settings", list[exceptions.Problem]]:
+        """Build settings, or return all the mistakes of the document."""
+        problems = schemas.check("sidecar", document)
+        if problems:
+            return expression.Error(problems)
+        return expression.Ok(cls(**document))
--- /dev/null
+++ b/tests/mesh_builders.py
@@ -0,0 +1,164 @@
+"""Build test data of the mesh data path."""
+
+import random
+
+from hickorythread import messages as base_messages
+from hickorythread.mesh import entry
+from hickorythread.mesh import events
+from hickorythread.mesh import execution
+from hickorythread.mesh import messages
+from hickorythread.mesh import models
+from hickorythread.mesh import settings
+from hickorythread.mesh import view
+
+REGIONS = {
+    "launceston": "north",
+    "devonport": "north",
+    "hobart": "south",
+}
+DOMAINS = ("launceston", "devonport", "hobart")
+
+
+def make_settings(number=1, **values):
+    fields = {
+        "host_id": f"10.0.0.{number}",
+        "failure_domain": DOMAINS[(number - 1) % len(DOMAINS)],
+        "regions": REGIONS,
+        "service": "spec-desk",
+        "target_address": f"10.0.0.{number}:8000",
+        "request_address": f"10.0.0.{number}:8001",
+        "readiness_address": f"10.0.0.{number}:8002",
+        "stream_port": 7600,
+        "metrics_port": 7615,
+        "source_address": "10.0.9.1:8627",
+        "grace_seconds": 6,
+    }
+    return settings.Settings(**(fields | values))
+
+
+def make_route(name="specs", **values):
+    fields = {
+        "name": name,
+        "host": "specs.example",
+        "prefix": f"/{name}/",
+        "destinations": [("spec-desk", 1.0)],
+        "idempotent": True,
+        "timeout": 1.0,
+        "objective": 0.5,
+        "attempts": 2,
+        "priority": 1,
+        "home_regions": [],
+    }
+    return models.Route(**(fields | values))
+
+
+def make_configuration(version=1, routes=None, **values):
+    fields = {
+        "services": {
+            "spec-desk": models.Service("spec-desk", "/healthz", 120, 3.0, 16)
+        },
+        "limits": models.Limits(16384, 1 << 20, 3.0, 15.0),
+    }
+    if routes is None:
+        routes = [make_route()]
+    return models.Configuration(version, routes, **(fields | values))
+
+
+def make_target(number=1, **values):
+    fields = {
+        "id": f"t{number}",
+        "service": "spec-desk",
+        "address": f"10.0.0.{number}:8000",
+        "failure_domain": DOMAINS[(number - 1) % len(DOMAINS)],
+        "slots": 4,
+        "draining": False,
+    }
+    return models.Target(**(fields | values))
+
+
+def make_view(targets=3, configuration=None):
+    made = view.View()
+    made.put_configuration(configuration or make_configuration())
+    built = [make_target(number) for number in range(1, targets + 1)]
+    made.replace_targets({target.id: target for target in built}, 5, 0.0)
+    return made
+
+
+def make_entry(made_view=None, number=1, connected=3, seed=1):
+    made_view = made_view or make_view()
+    plane = entry.EntryPlane(
+        make_settings(number), made_view, random.Random(seed)
+    )
+    plane.view_changed()
+    for other in range(1, connected + 1):
+        plane.peer_connected(f"10.0.0.{other}")
+    return plane
+
+
+def make_execution(made_view=None, number=1, now=0.0, alive=True):
+    made_view = made_view or make_view()
+    plane = execution.ExecutionPlane(make_settings(number), made_view, now)
+    plane.tick(now)
+    if alive:
+        plane.probed(events.Answer(200, [], b"", instance=f"t{number}"), now)
+    return plane
+
+
+def make_request(number=1, **values):
+    fields = {
+        "number": number,
+        "request_id": f"r{number}",
+        "method": "GET",
+        "host": "specs.example",
+        "path": "/specs/1",
+        "headers": [["Host", "specs.example"]],
+        "body": b"",
+        "received_at": 0.0,
+        "remaining": 2.0,
+    }
+    return events.Request(**(fields | values))
+
+
+def make_call(call_id=1, **values):
+    fields = {
+        "call_id": call_id,
+        "request_id": f"r{call_id}",
+        "service": "spec-desk",
+        "route": "specs",
+        "method": "GET",
+        "path": "/specs/1",
+        "headers": [],
+        "body": b"",
+        "remaining": 1.0,
+        "objective": 0.5,
+        "idempotent": True,
+        "priority": 1,
+        "caller_service": "spec-desk",
+    }
+    return messages.Forward(**(fields | values))
+
+
+def make_reply(call_id, outcome, status=200, body=b"", reason="", load=None):
+    return base_messages.Reply(
+        call_id,
+        outcome,
+        status,
+        [],
+        body,
+        len(body),
+        reason,
+        0.0,
+        load or [1, 0, 4],
+    )
+
+
+def of_type(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def sent(actions, kind):
+    return [
+        action.message
+        for action in of_type(actions, events.Send)
+        if isinstance(action.message, kind)
+    ]
--- /dev/null
+++ b/tests/test_mesh_planes.py
@@ -0,0 +1,302 @@
+"""The entry and execution planes: outcomes, repeats and promises."""
+
+import pytest
+
+from hickorythread import messages as base_messages
+from hickorythread.mesh import events
+from hickorythread.mesh import messages
+from tests import mesh_builders as build
+
+Forward = messages.Forward
+Reply = base_messages.Reply
+
+
+def responses(actions):
+    return [
+        action.response for action in build.of_type(actions, events.Respond)
+    ]
+
+
+def write_view():
+    route = build.make_route(idempotent=False)
+    return build.make_view(
+        configuration=build.make_configuration(routes=[route])
+    )
+
+
+def test_unknown_path_is_404_only_with_a_configuration():
+    """Guards against a 404 from a node that knows no configuration."""
+    plane = build.make_entry()
+    (response,) = responses(
+        plane.request(build.make_request(path="/other/"), 0.0)
+    )
+    assert response.status == 404
+    plane.router = None
+    (response,) = responses(
+        plane.request(build.make_request(path="/other/"), 0.0)
+    )
+    assert response.status == 503 and response.retry_after > 0
+
+
+def test_refused_call_goes_to_another_target():
+    plane = build.make_entry(write_view())
+    (call,) = build.sent(plane.request(build.make_request(), 0.0), Forward)
+    first = plane.pending[call.call_id].host_id
+    reply = build.make_reply(
+        call.call_id, messages.NOT_RUN, 503, reason="expected-wait"
+    )
+    actions = plane.reply(first, reply, 0.01)
+    (again,) = build.sent(actions, Forward)
+    assert plane.pending[again.call_id].host_id != first
+
+
+@pytest.mark.parametrize("reason", ["lost", "timeout", "cut-reply"])
+def test_unknown_outcome_of_a_write_is_never_sent_again(reason):
+    """Guards against a commission that runs twice."""
+    plane = build.make_entry(write_view())
+    (call,) = build.sent(plane.request(build.make_request(), 0.0), Forward)
+    host_id = plane.pending[call.call_id].host_id
+    reply = build.make_reply(
+        call.call_id, messages.UNKNOWN, 502, reason=reason
+    )
+    actions = plane.reply(host_id, reply, 0.01)
+    assert not build.sent(actions, Forward)
+    (response,) = responses(actions)
+    assert response.status == 502
+
+
+def test_write_on_a_broken_stream_is_not_promised_as_not_run():
+    plane = build.make_entry(write_view())
+    (call,) = build.sent(plane.request(build.make_request(), 0.0), Forward)
+    host_id = plane.pending[call.call_id].host_id
+    (response,) = responses(plane.peer_lost(host_id, 0.01))
+    assert response.status == 502
+
+
+def test_read_that_may_have_run_is_never_promised_as_not_run():
+    """Guards against a 503 after an attempt that reached a target."""
+    plane = build.make_entry()
+    (call,) = build.sent(plane.request(build.make_request(), 0.0), Forward)
+    host_id = plane.pending[call.call_id].host_id
+    reply = build.make_reply(call.call_id, messages.UNKNOWN, 502)
+    actions = plane.reply(host_id, reply, 0.01)
+    for _ in range(6):
+        calls = build.sent(actions, Forward)
+        if not calls:
+            break
+        host_id = plane.pending[calls[0].call_id].host_id
+        reply = build.make_reply(
+            calls[0].call_id, messages.NOT_RUN, 503, reason="expected-wait"
+        )
+        actions = plane.reply(host_id, reply, 0.02)
+    (response,) = responses(actions)
+    assert response.status == 502
+
+
+def test_attempts_bound_the_targets_that_run_a_read():
+    plane = build.make_entry()
+    actions = plane.request(build.make_request(), 0.0)
+    runs = 0
+    while calls := build.sent(actions, Forward):
+        runs += 1
+        host_id = plane.pending[calls[0].call_id].host_id
+        reply = build.make_reply(calls[0].call_id, messages.COMPLETE, 500)
+        actions = plane.reply(host_id, reply, 0.01)
+    assert runs == 2
+    (response,) = responses(actions)
+    assert response.status == 500 and response.from_target
+
+
+def test_repeats_stay_within_the_budget():
+    """Guards against retries that multiply the load of an outage."""
+    plane = build.make_entry()
+    repeats = 0
+    for number in range(1, 201):
+        request = build.make_request(number)
+        (call,) = build.sent(plane.request(request, 0.0), Forward)
+        host_id = plane.pending[call.call_id].host_id
+        reply = build.make_reply(call.call_id, messages.UNKNOWN, 502)
+        actions = plane.reply(host_id, reply, 0.01)
+        if calls := build.sent(actions, Forward):
+            repeats += 1
+            pending = plane.pending[calls[0].call_id]
+            done = build.make_reply(calls[0].call_id, messages.COMPLETE)
+            plane.reply(pending.host_id, done, 0.02)
+    assert repeats <= 10 + 0.1 * 200
+
+
+def test_silent_node_keeps_writes_and_loses_reads():
+    routes = [
+        build.make_route("specs"),
+        build.make_route("orders", idempotent=False),
+    ]
+    view = build.make_view(
+        configuration=build.make_configuration(routes=routes)
+    )
+    plane = build.make_entry(view)
+    # Only one host is reachable, so that both requests go there.
+    plane.placement.connected = {"10.0.0.2"}
+    plane.request(build.make_request(1), 0.0)
+    plane.request(build.make_request(2, path="/orders/1"), 0.0)
+    plane.placement.connected.add("10.0.0.3")
+    actions = plane.peer_silent("10.0.0.2", True, 0.5)
+    (call,) = build.sent(actions, Forward)
+    assert call.route == "specs"
+    assert [item.route.name for item in plane.pending.values()] == [
+        "orders",
+        "specs",
+    ]
+
+
+def test_request_is_answered_once_its_route_has_no_time_left():
+    plane = build.make_entry(write_view())
+    plane.request(build.make_request(), 0.0)
+    assert not responses(plane.tick(1.0))
+    (response,) = responses(plane.tick(1.1))
+    assert response.status == 504
+    assert not plane.pending and not plane.by_number
+
+
+def test_late_reply_of_an_earlier_call_is_dropped():
+    """Guards against an answer that belongs to another request."""
+    plane = build.make_entry()
+    (call,) = build.sent(plane.request(build.make_request(), 0.0), Forward)
+    host_id = plane.pending[call.call_id].host_id
+    reply = build.make_reply(call.call_id - 1, messages.COMPLETE, body=b"x")
+    assert not responses(plane.reply(host_id, reply, 0.01))
+    other = build.make_reply(call.call_id, messages.COMPLETE, body=b"x")
+    assert not responses(plane.reply("10.0.0.9", other, 0.01))
+
+
+def test_client_that_left_cancels_its_call():
+    plane = build.make_entry()
+    (call,) = build.sent(plane.request(build.make_request(), 0.0), Forward)
+    (cancel,) = build.sent(plane.client_gone(1, 0.1), base_messages.Cancel)
+    assert cancel.call_id == call.call_id
+
+
+def only_reply(actions):
+    (reply,) = build.sent(actions, Reply)
+    return reply
+
+
+def test_call_runs_with_the_instance_that_the_probe_found():
+    plane = build.make_execution()
+    (run,) = build.of_type(
+        plane.call("10.0.0.2", build.make_call(), 0.0), events.Run
+    )
+    assert run.instance == "t1"
+    reply = only_reply(
+        plane.answered(run.run_id, events.Answer(200, [], b"ok"), 0.1)
+    )
+    assert (reply.outcome, reply.body) == (messages.COMPLETE, b"ok")
+
+
+def test_repeated_call_id_runs_once():
+    plane = build.make_execution()
+    plane.call("10.0.0.2", build.make_call(), 0.0)
+    again = plane.call("10.0.0.2", build.make_call(), 0.0)
+    assert not build.of_type(again, events.Run)
+    plane.answered(1, events.Answer(200, [], b""), 0.1)
+    again = plane.call("10.0.0.2", build.make_call(), 0.2)
+    assert not build.of_type(again, events.Run)
+
+
+def test_slots_of_the_entry_apply_after_a_restart_of_the_node():
+    """Guards against a default limit that outlives the first probe."""
+    view = build.make_view()
+    view.put_target(build.make_target(1, slots=7))
+    plane = build.make_execution(view)
+    assert plane.admission.slots == 7
+
+
+def test_target_down_refuses_at_once_and_tells_all():
+    plane = build.make_execution()
+    plane.call("10.0.0.2", build.make_call(), 0.0)
+    actions = plane.failed(1, events.Failure("lost"), 0.1)
+    assert only_reply(actions).outcome == messages.UNKNOWN
+    assert build.of_type(actions, events.Probe)
+    actions = plane.probed(events.Failure("connect"), 0.2)
+    states = [
+        item.message
+        for item in build.of_type(actions, events.Broadcast)
+        if isinstance(item.message, messages.TargetState)
+    ]
+    assert [state.usable for state in states] == [False]
+    reply = only_reply(plane.call("10.0.0.2", build.make_call(2), 0.3))
+    assert (reply.outcome, reply.reason) == (messages.NOT_RUN, "target-down")
+
+
+def test_returned_target_starts_cold():
+    """Guards against full load on a target that has just come back."""
+    plane = build.make_execution()
+    plane.call("10.0.0.2", build.make_call(), 0.0)
+    plane.failed(1, events.Failure("connect"), 0.1)
+    plane.probed(events.Failure("connect"), 0.2)
+    assert build.of_type(plane.tick(0.5), events.Probe)
+    plane.probed(events.Answer(200, [], b"", False, "t1", 3.0), 0.6)
+    starts = 0
+    for number in range(2, 60):
+        actions = plane.call("10.0.0.2", build.make_call(number), 0.6)
+        for run in build.of_type(actions, events.Run):
+            starts += 1
+            plane.answered(run.run_id, events.Answer(200, [], b""), 0.6)
+    assert 1 <= starts <= 3
+
+
+def test_only_a_confirmed_crash_makes_a_request_suspect():
+    """Guards against refusing requests whose answers were lost."""
+    plane = build.make_execution()
+    for number in range(1, 6):
+        plane.call("10.0.0.2", build.make_call(number), 0.0)
+        plane.failed(number, events.Failure("lost"), 0.1)
+        plane.probed(events.Answer(200, [], b"", instance="t1"), 0.1)
+    assert not plane.quarantine.suspects
+
+
+def test_request_that_crashed_two_targets_is_refused():
+    plane = build.make_execution()
+    for number in (1, 2):
+        plane.call("10.0.0.2", build.make_call(number), 0.0)
+        plane.failed(number, events.Failure("lost"), 0.1)
+        plane.probed(events.Failure("connect"), 0.1)
+        plane.probed(events.Answer(200, [], b"", instance="t1"), 0.2)
+    reply = only_reply(plane.call("10.0.0.2", build.make_call(3), 0.3))
+    assert (reply.outcome, reply.status) == (messages.NOT_RUN, 429)
+    other = plane.call("10.0.0.2", build.make_call(4, path="/specs/2"), 0.3)
+    assert build.of_type(other, events.Run)
+
+
+@pytest.mark.parametrize("change", ["draining", "removed", "evacuated"])
+def test_leaving_target_takes_no_new_work(change):
+    view = build.make_view()
+    plane = build.make_execution(view)
+    if change == "draining":
+        view.put_target(build.make_target(1, draining=True))
+    elif change == "removed":
+        view.remove_target("t1", 1.0)
+    else:
+        view.put_evacuated(frozenset(("launceston",)), 7)
+    plane.view_changed(False, 1.0)
+    reply = only_reply(plane.call("10.0.0.2", build.make_call(), 1.0))
+    assert reply.outcome == messages.NOT_RUN
+    assert reply.reason in ("leaving", "evacuated")
+
+
+def test_cancelled_write_runs_to_its_end_once_it_began():
+    plane = build.make_execution()
+    plane.call("10.0.0.2", build.make_call(idempotent=False), 0.0)
+    assert not plane.cancel("10.0.0.2", 1, 0.1)
+    plane.call("10.0.0.2", build.make_call(2), 0.0)
+    assert build.of_type(plane.cancel("10.0.0.2", 2, 0.1), events.CancelRun)
+
+
+def test_stopping_node_finishes_what_it_runs():
+    plane = build.make_execution()
+    plane.call("10.0.0.2", build.make_call(), 0.0)
+    plane.stop(0.1)
+    reply = only_reply(plane.call("10.0.0.2", build.make_call(2), 0.1))
+    assert reply.reason == "stopping"
+    assert not plane.idle
+    plane.answered(1, events.Answer(200, [], b""), 0.2)
+    assert plane.idle
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -21,8 +21,13 @@
 from hickorythread import execution
 from hickorythread import messages
 from hickorythread import replica
+from hickorythread.mesh import entry as mesh_entry
+from hickorythread.mesh import events as mesh_events
+from hickorythread.mesh import exchange
+from hickorythread.mesh import messages as mesh_messages
 from tests import builders
 from tests import mesh
+from tests import mesh_builders
 
 CONFIG = messages.CONFIG_LOG
 HOSTS = messages.HOSTS_LOG
@@ -111,6 +116,7 @@
 )
 
 VALUES = {
+    bool: strategies.booleans(),
     int: strategies.sampled_from(COUNTS),
     float: strategies.sampled_from(TIMES),
     str: strategies.sampled_from(
@@ -555,3 +561,37 @@
 
 def is_send(action):
     return isinstance(action, events.Send)
+
+
+@CHECKED
+@hypothesis.given(items=strategies.lists(MESSAGES, min_size=1, max_size=6))
+def test_sidecar_takes_any_message(items):
+    """R8, R9: guards against messages that stop a sidecar."""
+    view = mesh_builders.make_view()
+    entry = mesh_builders.make_entry(view)
+    execution = mesh_builders.make_execution(view)
+    request = mesh_builders.make_request()
+    (sent,) = mesh_builders.sent(
+        entry.request(request, 0.0), mesh_messages.Forward
+    )
+    host_id = entry.pending[sent.call_id].host_id
+    for message in items:
+        if isinstance(message, messages.Reply):
+            message.call_id = sent.call_id
+            entry.reply(host_id, message, 0.1)
+        elif isinstance(message, mesh_messages.Forward):
+            message.remaining = mesh_entry.bounded_remaining(message)
+            for action in execution.call("10.0.0.2", message, 0.1):
+                if isinstance(action, mesh_events.Run):
+                    assert messages.are_headers(action.call.headers)
+        elif isinstance(message, mesh_messages.TargetState):
+            entry.target_state("10.0.0.2", message, 0.1)
+        elif isinstance(message, mesh_messages.ViewRequest):
+            exchange.answer(view, message)
+        elif isinstance(message, mesh_messages.ViewReply):
+            exchange.apply(view, message, 0.1)
+        elif isinstance(message, mesh_messages.Crashed):
+            execution.crashed(message, 0.1)
+    entry.view_changed()
+    entry.tick(5.0)
+    execution.tick(5.0)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,332 @@
+"""The adapter of the users' platform: names, documents and the store."""
+
+import json
+import pathlib
+import re
+
+import pytest
+
+from hickorythread import utils
+from hickorythread.mesh import events
+from hickorythread.mesh import interfaces
+from hickorythread.mesh import settings
+from hickorythread.platform import documents
+from hickorythread.platform import headers
+from hickorythread.platform import store
+from tests import mesh_builders as build
+from tests import store_standin
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+WIRE_NAMES = re.compile(
+    r"Hickorythread-[A-Z]|/-/kv-|warmup_left_ms|slo_ms|HICKORYTHREAD_BOOT"
+)
+
+
+def make_entry_document(**values):
+    return {
+        "service": "spec-desk",
+        "address": "10.0.0.1:8080",
+        "zone": "launceston",
+        "version": "v1",
+        "concurrency": 12,
+        "phase": "ready",
+        "warmup_left_ms": 1500,
+        "seq": 4,
+        "born": 1790000000000,
+    } | values
+
+
+def make_configuration_document(version=7):
+    return {
+        "version": version,
+        "services": [
+            {
+                "name": "spec-desk",
+                "health_path": "/healthz",
+                "max_conns": 120,
+                "warmup_s": 3.0,
+                "warmup_per_s": 16.0,
+            }
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1048576,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "hosts": [
+            {
+                "host": "a.example",
+                "paths": [
+                    {
+                        "name": "one",
+                        "prefix": "/one/",
+                        "type": "non_idempotent",
+                        "timeout_ms": 1200,
+                        "slo_ms": 600,
+                        "priority": 1,
+                        "service": "spec-desk",
+                        "attempts": 2,
+                        "allowed_regions": ["north"],
+                    },
+                    {
+                        "name": "two",
+                        "prefix": "/two/",
+                        "type": "idempotent",
+                        "timeout_ms": 1000,
+                        "slo_ms": 500,
+                        "priority": 2,
+                        "split": [
+                            {"service": "spec-desk", "weight": 90},
+                            {"service": "other", "weight": 10},
+                        ],
+                        "attempts": 3,
+                        "allowed_regions": [],
+                    },
+                ],
+            }
+        ],
+    }
+
+
+def test_configuration_is_decoded_into_named_fields():
+    made = documents.read_configuration(make_configuration_document())
+    one, two = made.routes
+    assert (one.idempotent, one.timeout, one.objective) == (False, 1.2, 0.6)
+    assert one.home_regions == ["north"] and two.home_regions == []
+    assert two.destinations == [("spec-desk", 90.0), ("other", 10.0)]
+    assert made.services["spec-desk"].warmup_rate == 16.0
+    assert made.limits.idle_time == 15.0
+
+
+def test_target_is_decoded_into_named_fields():
+    made = documents.read_target("i-1", make_entry_document(), build.REGIONS)
+    assert (made.host_id, made.slots, made.draining) == ("10.0.0.1", 12, False)
+    assert made.warmup_seconds == 1.5
+    assert made.started_at_ms == 1790000000000
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        {"phase": "sleeping"},
+        {"phase": 1},
+        {"zone": "nowhere"},
+        {"address": "nowhere"},
+        {"address": None},
+        {"service": ""},
+        {"concurrency": "12"},
+        {"concurrency": 0},
+        {"concurrency": True},
+        {"warmup_left_ms": -1},
+        {"born": 1.5},
+    ],
+)
+def test_entry_of_another_writer_names_no_target(values):
+    """Guards against traffic to what a forged entry names."""
+    with pytest.raises(documents.DocumentError):
+        documents.read_target(
+            "i-1", make_entry_document(**values), build.REGIONS
+        )
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "phase"])
+def test_entry_without_a_field_names_no_target(field):
+    document = make_entry_document()
+    del document[field]
+    with pytest.raises(documents.DocumentError):
+        documents.read_target("i-1", document, build.REGIONS)
+
+
+@pytest.mark.parametrize("data", ["*", None, "bm90IGpzb24=", 7])
+def test_unreadable_value_is_an_error(data):
+    with pytest.raises(documents.DocumentError):
+        documents.decode_value(data)
+
+
+@pytest.fixture
+def standin():
+    made = store_standin.Store()
+    yield made
+    made.close()
+
+
+def make_client(standin):
+    return store.StoreClient(standin.address, build.REGIONS)
+
+
+def test_pages_are_read_to_the_end_and_bad_entries_left_out(standin):
+    for number in range(8):
+        standin.put(f"servers/i-{number}", make_entry_document())
+    standin.put_bytes("servers/i-9", b"\xff")
+    reading = make_client(standin).read(interfaces.TARGETS).ok
+    puts = [
+        change
+        for change in reading.changes
+        if isinstance(change, interfaces.PutTarget)
+    ]
+    assert len(puts) == 8
+    assert reading.revision == standin.revision
+
+
+def test_watch_returns_what_changed_after_the_first_page(standin):
+    """Guards against a change that falls between two pages."""
+    standin.put("servers/i-1", make_entry_document())
+    client = make_client(standin)
+    revision = client.read(interfaces.TARGETS).ok.revision
+    standin.put("servers/i-2", make_entry_document(phase="draining"))
+    standin.delete("servers/i-1")
+    reading = client.watch(interfaces.TARGETS, revision, 1.0).ok
+    put, removed = reading.changes
+    assert put.target.draining and removed.target_id == "i-1"
+    assert reading.revision == standin.revision
+
+
+def test_entry_that_becomes_unreadable_is_removed(standin):
+    standin.put("servers/i-1", make_entry_document())
+    client = make_client(standin)
+    revision = client.read(interfaces.TARGETS).ok.revision
+    standin.put_bytes("servers/i-1", b"{")
+    (change,) = client.watch(interfaces.TARGETS, revision, 1.0).ok.changes
+    assert isinstance(change, interfaces.RemoveTarget)
+
+
+def test_lost_history_and_outages_are_told_apart(standin):
+    client = make_client(standin)
+    revision = client.read(interfaces.OPERATOR).ok.revision
+    standin.put("op/config", make_configuration_document())
+    standin.compact()
+    failure = client.watch(interfaces.OPERATOR, revision, 1.0).error
+    assert failure.kind == interfaces.HISTORY
+    for status, kind in ((429, "rate"), (503, "refused")):
+        standin.refuse_status = status
+        assert client.read(interfaces.OPERATOR).error.kind == kind
+    standin.close()
+    client.pool.close()
+    assert client.read(interfaces.OPERATOR).error.kind == "unreachable"
+
+
+def test_operator_topic_holds_configuration_and_evacuations(standin):
+    standin.put("op/config", make_configuration_document(9))
+    standin.put("op/evacuate/hobart", {})
+    client = make_client(standin)
+    reading = client.read(interfaces.OPERATOR).ok
+    kinds = {type(change) for change in reading.changes}
+    assert kinds == {interfaces.PutConfiguration, interfaces.SetEvacuated}
+    standin.delete("op/evacuate/hobart")
+    (change,) = client.watch(
+        interfaces.OPERATOR, reading.revision, 1.0
+    ).ok.changes
+    assert (change.failure_domain, change.evacuated) == ("hobart", False)
+
+
+def make_environ(fields):
+    return {
+        "headers_raw": fields,
+        "REQUEST_METHOD": "GET",
+        "HTTP_HOST": "a.example",
+        "hickorythread.path": "/one/x?y=1",
+    }
+
+
+def test_request_headers_are_read_and_set_by_the_system():
+    """Guards against a caller that names its own service or target."""
+    translator = headers.Headers(utils.SystemClock())
+    request = translator.read_request(
+        1,
+        make_environ(
+            [
+                ("Host", "a.example"),
+                ("Hickorythread-Attempt-Id", "abc"),
+                ("Hickorythread-Deadline-Ms", "1500"),
+                ("Hickorythread-Caller-Service", "forged"),
+                ("Hickorythread-Expect-Instance", "forged"),
+                ("Connection", "keep-alive, X-Hop"),
+                ("X-Hop", "1"),
+                ("X-Kept", "1"),
+            ]
+        ),
+        b"",
+        0.0,
+    )
+    assert request.request_id == "abc" and request.remaining == 1.5
+    call = build.make_call(headers=request.headers, caller_service="mine")
+    lines = translator.target_headers(call, "i-1", 0.75)
+    assert lines == [
+        "Host: a.example",
+        "Hickorythread-Attempt-Id: abc",
+        "X-Kept: 1",
+        "Hickorythread-Deadline-Ms: 750",
+        "Hickorythread-Caller-Service: mine",
+        "Hickorythread-Expect-Instance: i-1",
+    ]
+
+
+def test_answer_tells_whether_it_ran():
+    translator = headers.Headers(utils.SystemClock())
+    shed = translator.read_answer(
+        503, [["Hickorythread-Not-Executed", "1"]], b""
+    )
+    assert shed.not_run
+    assert translator.read_answer(421, [], b"").not_run
+    assert not translator.read_answer(503, [], b"").not_run
+    probe = translator.read_answer(
+        200,
+        [
+            ["Hickorythread-Instance-Id", "i-1"],
+            ["Hickorythread-Warmup-Ms", "1500"],
+        ],
+        b"",
+    )
+    assert (probe.instance, probe.warmup) == ("i-1", 1.5)
+
+
+def test_answer_to_another_attempt_is_not_taken():
+    """Guards against a late second answer on a kept connection."""
+    translator = headers.Headers(utils.SystemClock())
+    call = build.make_call(request_id="abc")
+    mine = [["Hickorythread-Attempt-Id", "abc"]]
+    other = [["Hickorythread-Attempt-Id", "abd"]]
+    assert translator.is_answer(call, mine)
+    assert not translator.is_answer(call, other)
+    assert not translator.is_answer(call, [])
+
+
+def test_retry_after_has_fractions():
+    translator = headers.Headers(utils.SystemClock())
+    response = events.Response(503, [], b"", "busy", 0.25)
+    assert ("Retry-After", "0.250") in translator.response_headers(response)
+
+
+def test_template_renders_valid_settings():
+    """Guards against a settings template that the sidecar refuses."""
+    text = (ROOT / "deploy" / "sidecar.json.tmpl").read_text("utf-8")
+    values = {
+        "node_name": "sidecar-1",
+        "ip": "10.1.0.41",
+        "zone": "launceston",
+        "zones|json": '{"launceston": "north-tas"}',
+        "service": "huvo11a",
+        "app_addr": "10.1.0.41:8628",
+        "listen.outbound": "10.1.0.41:8629",
+        "listen.readiness": "10.1.0.41:8625",
+        "port_range.0": "7600",
+        "port_range.1": "7615",
+        "platform.address": "10.200.1.7:8627",
+        "bounds.grace_s": "6",
+    }
+    rendered = re.sub(r"\{\{(.*?)\}\}", lambda m: values[m[1]], text)
+    result = settings.Settings.from_config(json.loads(rendered))
+    assert result.is_ok() and result.ok.region == "north-tas"
+
+
+def test_names_of_the_platform_stay_in_its_folder():
+    """Guards against names of the wire that spread through the code."""
+    package = ROOT / "src" / "hickorythread"
+    found = [
+        str(path.relative_to(package))
+        for path in package.rglob("*.py")
+        if "platform" not in path.parts[-2:-1]
+        and WIRE_NAMES.search(path.read_text("utf-8"))
+    ]
+    assert found == []
--- /dev/null
+++ b/tests/test_target_client.py
@@ -0,0 +1,132 @@
+"""The client of the target beside a sidecar, against scripted servers."""
+
+import select
+import socket
+import struct
+
+import pytest
+
+from hickorythread import http_client
+from hickorythread import utils
+from hickorythread.mesh import events
+from hickorythread.mesh import target_client
+from hickorythread.platform import headers
+from tests import mesh_builders as build
+from tests import servers
+
+ID = b"Hickorythread-Attempt-Id: r1\r\n"
+
+
+def make_client(server):
+    clock = utils.SystemClock()
+    return target_client.TargetClient(
+        server.address, headers.Headers(clock), clock
+    )
+
+
+def make_run(run_id=1, seconds=5.0, **values):
+    call = build.make_call(request_id="r1", **values)
+    deadline = utils.SystemClock().monotonic() + seconds
+    return events.Run(run_id, call, "t1", deadline)
+
+
+def response(body, id_line=ID, head=b""):
+    length = b"Content-Length: %d\r\n" % len(body)
+    return b"HTTP/1.1 200 OK\r\n" + id_line + head + length + b"\r\n" + body
+
+
+def test_late_second_answer_is_skipped():
+    """Guards against the answer to an earlier request."""
+    stray = response(b"old", b"Hickorythread-Attempt-Id: r0\r\n")
+    with servers.ScriptedServer(
+        servers.answer(stray + response(b"new"))
+    ) as server:
+        answer = make_client(server).run(make_run())
+    assert answer.body == b"new"
+
+
+def test_bytes_after_an_answer_end_the_connection():
+    with servers.ScriptedServer(
+        servers.answer(response(b"one") + b"junk"),
+        servers.answer(response(b"two")),
+    ) as server:
+        client = make_client(server)
+        assert client.run(make_run(1)).body == b"one"
+        assert client.run(make_run(2)).body == b"two"
+        assert server.accepted == 2
+
+
+def test_answer_without_an_id_is_not_passed_on():
+    with servers.ScriptedServer(
+        servers.answer(response(b"x", b"", b"Connection: close\r\n"))
+    ) as server:
+        assert make_client(server).run(make_run()).kind == "lost"
+
+
+def test_body_may_end_with_its_connection():
+    data = b"HTTP/1.1 200 OK\r\n" + ID + b"\r\nwhole"
+    with servers.ScriptedServer(servers.answer(data)) as server:
+        assert make_client(server).run(make_run()).body == b"whole"
+
+
+def test_connection_that_ended_between_requests_sends_nothing():
+    """Guards against full load on a target that has just restarted."""
+    scripts = (servers.answer(response(b"one")),)
+    with servers.ScriptedServer(*scripts) as server:
+        client = make_client(server)
+        assert client.run(make_run(1)).body == b"one"
+        server.closed.get(timeout=10)
+        select.select([client.idle[0].connection.sock], [], [], 10)
+        assert client.run(make_run(2)).kind == "stale"
+        assert len(server.requests) == 1
+
+
+def test_request_past_its_deadline_is_not_sent():
+    with servers.ScriptedServer() as server:
+        result = make_client(server).run(make_run(seconds=0.0))
+        assert result.kind == "late"
+        assert server.requests == []
+
+
+def test_refused_connection_sends_nothing():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+    clock = utils.SystemClock()
+    client = target_client.TargetClient(address, headers.Headers(clock), clock)
+    assert client.run(make_run()).kind == "connect"
+    assert client.probe("/healthz").kind == "connect"
+
+
+def test_probe_reads_instance_and_warm_up():
+    fields = (
+        b"Hickorythread-Instance-Id: i-1\r\nHickorythread-Warmup-Ms: 500\r\n"
+    )
+    with servers.ScriptedServer(
+        servers.answer(response(b"", b"", fields))
+    ) as server:
+        answer = make_client(server).probe("/healthz")
+    assert (answer.instance, answer.warmup) == ("i-1", 0.5)
+
+
+def test_reset_of_a_green_socket_is_no_end_of_a_body():
+    """Guards against a cut body that looks complete.
+
+    The sockets of eventlet return no bytes for a reset, as for an end.
+    """
+    import eventlet
+
+    listener = eventlet.listen(("127.0.0.1", 0))
+
+    def serve():
+        sock, _ = listener.accept()
+        sock.sendall(b"part")
+        eventlet.sleep(0.05)
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+
+    eventlet.spawn(serve)
+    sock = eventlet.connect(listener.getsockname())
+    assert http_client.receive(sock, 100) == b"part"
+    with pytest.raises(ConnectionResetError):
+        http_client.receive(sock, 100)
