Follow a request through the logs and keep failures before successes

Cause: a burst of ordinary decision lines could fill the buffer and hide the refused and failed requests; and nothing joined the lines of several nodes. Change: decision lines about successes have half of the buffer and 300 lines a second, all others 1,000; what is left out is counted and logged once a second. 'hickorythread trace ID FILES' prints the lines of one request in order. The retry reserve of a node is half of the mesh's slack over the number of hosts (ten for each of 13 nodes exceeded the slack of 60). An entry of the store changes slots and warm-up only when it changes itself.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -382,6 +382,43 @@
     return _print(format, answer, _flat_lines(answer))
 
 
+def trace(request: str, *files: str, format: Format = "text") -> int:
+    """Follow one request through the logs of several nodes.
+
+    Reads standard input if no file is named. Exits 0 if a line names the
+    request, 1 if none does, 2 if a file cannot be read.
+
+    :param request: the id of the request
+    :param files: log files of the nodes
+    :param format: text or json
+    """
+    from hickorythread import traces
+
+    found = traces.follow(_read_lines(files), request)
+    if not found:
+        raise CommandError(
+            EXIT_REJECTED,
+            f"no line names the request {request}; lines of successful "
+            "requests are left out first when a node writes more than its "
+            "bound (event lines_dropped)",
+        )
+    document = {"request": request, "lines": traces.to_document(found)}
+    return _print(format, document, [traces.describe(line) for line in found])
+
+
+def _read_lines(files: tuple[str, ...]) -> Iterable[str]:
+    if not files:
+        yield from sys.stdin
+    for path in files:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as source:
+                yield from source
+        except OSError as error:
+            raise CommandError(
+                EXIT_USAGE, f"cannot read {path}: {error.strerror}"
+            ) from error
+
+
 def standin_platform(
     *,
     address: str = "127.0.0.1:7700",
@@ -479,6 +516,7 @@
     "domain": {"out": domain_out, "in": domain_in},
     "status": status,
     "explain": explain,
+    "trace": trace,
     "standin": {
         "platform": standin_platform,
         "upstream": standin_upstream,
--- a/src/hickorythread/logs.py
+++ b/src/hickorythread/logs.py
@@ -69,7 +69,17 @@
 class DecisionLog:
     """Buffer decision lines; a task formats and writes them in batches."""
 
-    __slots__ = ("host", "version", "wall", "dropped", "_buffer")
+    __slots__ = (
+        "host",
+        "version",
+        "wall",
+        "dropped",
+        "_buffer",
+        "ordinary_per_second",
+        "lines_per_second",
+        "_second",
+        "_lines",
+    )
 
     def __init__(
         self,
@@ -81,19 +91,33 @@
         self.version = version
         self.wall = wall
         self.dropped = 0
+        self.ordinary_per_second = MAX_DECISIONS
+        self.lines_per_second = 2 * MAX_DECISIONS
+        self._second = 0
+        self._lines = 0
         self._buffer: collections.deque[
             tuple[float, int, str, Mapping[str, Any]]
         ] = collections.deque()
 
-    def add(self, event: str, values: Mapping[str, Any]) -> None:
-        """Record one decision, or count it as dropped if the buffer is full.
+    def add(
+        self, event: str, values: Mapping[str, Any], ordinary: bool = False
+    ) -> None:
+        """Record one decision, or count it as dropped beyond the bounds.
 
-        The values must not change afterwards.
+        The values must not change afterwards. An ordinary line is one that
+        nobody needs to explain a failure; it has less room than others.
         """
-        if len(self._buffer) >= MAX_DECISIONS:
+        now = self.wall()
+        if int(now) != self._second:
+            self._second = int(now)
+            self._lines = 0
+        room = MAX_DECISIONS // 2 if ordinary else MAX_DECISIONS
+        most = self.ordinary_per_second if ordinary else self.lines_per_second
+        if len(self._buffer) >= room or self._lines >= most:
             self.dropped += 1
             return
-        self._buffer.append((self.wall(), self.version(), event, values))
+        self._lines += 1
+        self._buffer.append((now, self.version(), event, values))
 
     def flush(self, stream: TextIO, limit: int = MAX_DECISIONS) -> int:
         """Write up to limit buffered lines and return their number.
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -25,6 +25,10 @@
 STARTING_RETRY_SECONDS = 0.5
 NO_TARGET_RETRY_SECONDS = 0.4
 SPARE_TIMERS = 256
+# Calls that a repeated request makes count as repeats of their service too.
+RETRY_SHARE = 0.6
+RETRY_SLACK_SHARE = 0.5
+MIN_RETRY_RESERVE = 1.0
 SERVER_ERROR = 500
 
 Actions = list[events.Record]
@@ -91,7 +95,7 @@
             random_source,
         )
         self.splitter = routing.Splitter(random_source)
-        self.budget = retries.RetryBudget()
+        self.budget = retries.RetryBudget(RETRY_SHARE * settings.retry_share)
         self.router: routing.Router | None = None
         self.pending: dict[int, Pending] = {}
         self.by_number: dict[int, Pending] = {}
@@ -229,6 +233,10 @@
 
     def view_changed(self) -> None:
         """Put the newest view in force."""
+        hosts = {target.host_id for target in self.view.targets.values()}
+        slack = RETRY_SLACK_SHARE * self.settings.retry_slack
+        reserve = max(MIN_RETRY_RESERVE, slack / max(1, len(hosts)))
+        self.budget.set_reserve(reserve)
         configuration = self.view.configuration
         if configuration is None:
             return
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -80,6 +80,7 @@
         )
         self.last_run_id = 0
         self.instance = ""
+        self.entry: models.Target | None = None
         self.probing = False
         self.probed_at = -PROBE_SECONDS
         self.down = True
@@ -401,8 +402,9 @@
     def _use_entry(self, now: float) -> None:
         """Take slots and warm-up from what the target registered."""
         target = self.view.targets.get(self.instance)
-        if target is None:
+        if target is None or target == self.entry:
             return
+        self.entry = target
         self.admission.slots = target.slots
         if target.warmup_seconds > 0 and not self.admission.cold(now):
             self._set_cold(target.warmup_seconds, now)
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -44,6 +44,10 @@
 RECONNECT_MAX_SECONDS = 1.5
 FLUSH_SECONDS = 0.1
 FLUSH_LINES = 16
+ORDINARY_LINES_PER_SECOND = 300
+LINES_PER_SECOND = 1000
+ORDINARY_EVENTS = frozenset(("answered", "run_ended"))
+SERVER_ERROR = 500
 # Clients keep coming until two questions about readiness were missed.
 MIN_DRAIN_SECONDS = 3.2
 QUIET_SECONDS = 0.6
@@ -103,6 +107,8 @@
         self.decisions = logs.set_up(
             settings.name, self.version, settings.log_level, sys.stdout
         )
+        self.decisions.ordinary_per_second = ORDINARY_LINES_PER_SECOND
+        self.decisions.lines_per_second = LINES_PER_SECOND
         self.request_duration = self.metrics.duration("request")
         self.entry = entry.EntryPlane(settings, self.view, random_source)
         self.execution = execution.ExecutionPlane(settings, self.view, now)
@@ -141,6 +147,8 @@
         self.waiters: dict[int, Waiter] = {}
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
         self.last_number = 0
+        self.reported_dropped = 0
+        self.report_dropped_at = 0.0
         self.stopping = False
         self.accepting = True
         self.failure: BaseException | None = None
@@ -329,9 +337,19 @@
             # Other tasks run between batches.
             while self.decisions.flush(sys.stdout, FLUSH_LINES) == FLUSH_LINES:
                 eventlet.sleep(0)
+            self._report_dropped()
             self.metrics.flush()
             self.target.expire(self.clock.monotonic())
 
+    def _report_dropped(self) -> None:
+        """Log how many lines were left out, once a second at most."""
+        dropped = self.decisions.dropped
+        now = self.clock.monotonic()
+        if dropped > self.reported_dropped and now >= self.report_dropped_at:
+            self.report_dropped_at = now + 1.0
+            self.reported_dropped = dropped
+            logs.warning("lines_dropped", total=dropped)
+
     # The view.
 
     def apply(
@@ -497,7 +515,9 @@
 
     def _log(self, action: base_events.Log) -> None:
         self.metrics.count(action.event)
-        self.decisions.add(action.event, action.values)
+        status = action.values.get("status", 0)
+        ordinary = action.event in ORDINARY_EVENTS and status < SERVER_ERROR
+        self.decisions.add(action.event, action.values, ordinary)
 
     # Streams.
 
--- a/src/hickorythread/mesh/settings.py
+++ b/src/hickorythread/mesh/settings.py
@@ -13,7 +13,8 @@
     """Hold the checked settings of one sidecar.
 
     host_id is the IP address of the host, regions maps failure domains to
-    their regions; addresses are IP:port.
+    their regions; addresses are IP:port. The whole mesh may retry
+    retry_share of the requests for a service and retry_slack more.
     """
 
     __slots__ = (
@@ -29,6 +30,8 @@
         "metrics_port",
         "source_address",
         "grace_seconds",
+        "retry_share",
+        "retry_slack",
         "log_level",
     )
 
@@ -45,6 +48,8 @@
         metrics_port: int,
         source_address: str,
         grace_seconds: float,
+        retry_share: float,
+        retry_slack: float,
         name: str = "",
         log_level: str = "info",
     ) -> None:
@@ -60,6 +65,8 @@
         self.metrics_port = metrics_port
         self.source_address = source_address
         self.grace_seconds = grace_seconds
+        self.retry_share = retry_share
+        self.retry_slack = retry_slack
         self.log_level = log_level
 
     @property
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -32,6 +32,8 @@
         "metrics_port": 7615,
         "source_address": "10.0.9.1:8627",
         "grace_seconds": 6,
+        "retry_share": 0.2,
+        "retry_slack": 60,
     }
     return settings.Settings(**(fields | values))
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -100,3 +100,23 @@
         assert decisions.flush(sink) == 0
         os.read(source.fileno(), 1 << 20)
         assert decisions.flush(sink) > 0
+
+
+def test_failures_are_kept_before_successes():
+    """Guards against a burst of ordinary lines that hides the failures."""
+    times = [1000.0]
+    decisions = logs.DecisionLog("a", lambda: 1, lambda: times[0])
+    decisions.ordinary_per_second = 30
+    decisions.lines_per_second = 100
+    for _ in range(60):
+        decisions.add("answered", {}, ordinary=True)
+    assert decisions.dropped == 30
+    decisions.add("failed", {})
+    assert decisions.dropped == 30
+    for _ in range(200):
+        decisions.add("failed", {})
+    stream = io.StringIO()
+    assert decisions.flush(stream) == 100
+    times[0] += 1.0
+    decisions.add("answered", {}, ordinary=True)
+    assert decisions.flush(stream) == 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -314,6 +314,8 @@
         "port_range.1": "7615",
         "platform.address": "10.200.1.7:8627",
         "bounds.grace_s": "6",
+        "bounds.retry_ratio": "0.2",
+        "bounds.retry_slack": "60",
     }
     rendered = re.sub(r"\{\{(.*?)\}\}", lambda m: values[m[1]], text)
     result = settings.Settings.from_config(json.loads(rendered))
