Act on removals within two seconds of an outage's end

Cause: a node noticed the return of the source only with the next change, since its first watch after an outage waited for one. Ruled out: a slow watch of the owner node (its line source_regained stands in the same millisecond as the removal), queued calls, and an older view of a peer. Change: after a failure a watch does not wait, and a removal seen as an event takes effect after 1.6 s at most. Removals in a whole list keep the 2.2 s.

Also: placement knows each target's latency by route and avoids targets that are too slow for the objective; work is admitted only if twice its usual latency fits the objective; two full targets end the search; a failure of the target is passed on when the retry budget has none left; the near target is preferred until it is full.

--- a/src/hickorythread/mesh/admission.py
+++ b/src/hickorythread/mesh/admission.py
@@ -15,6 +15,8 @@
 WARMUP_BURST = 2.0
 WARMUP_SHARE = 0.9
 MAX_QUEUE_PER_SLOT = 8
+# Answers take up to this many mean latencies often enough to matter.
+LATENCY_MARGIN = 2.0
 
 
 class Work:
@@ -86,9 +88,18 @@
         cold = int(self.bucket.rate * self.latency)
         return max(1, min(self.slots, cold))
 
-    def load(self) -> list[int]:
-        """Return running and waiting requests and the limit."""
-        return [self.running, len(self.queue), self.limit]
+    def load(self, route: str = "") -> list[int]:
+        """Return running and waiting requests, the limit and a latency.
+
+        The latency is that of a route in ms, 0 if it is not known.
+        """
+        latency = self.latencies.get(route, 0.0)
+        return [
+            self.running,
+            len(self.queue),
+            self.limit,
+            int(latency * 1000),
+        ]
 
     def set_cold(self, seconds: float, rate: float, now: float) -> None:
         """Limit the rate of starts until the target is warm.
@@ -120,7 +131,8 @@
             self.running += 1
             return True, None
         wait = self.expected_wait(work.priority)
-        finish = now + wait + self.latencies.get(work.route, self.latency)
+        latency = self.latencies.get(work.route, self.latency)
+        finish = now + wait + LATENCY_MARGIN * latency
         if finish > min(work.late_at, work.deadline):
             return False, self.refusal("expected-wait", wait)
         if len(self.queue) >= MAX_QUEUE_PER_SLOT * self.slots:
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -21,6 +21,8 @@
 ANSWER_SECONDS = 0.08
 ASIDE_SECONDS = 0.5
 MAX_REFUSALS = 3
+# Two full targets of a service are a sign that the others are full as well.
+MAX_BUSY = 2
 MIN_REPEAT_SECONDS = 0.05
 STARTING_RETRY_SECONDS = 0.5
 NO_TARGET_RETRY_SECONDS = 0.4
@@ -52,6 +54,7 @@
         "sent_at",
         "runs",
         "refusals",
+        "busy",
         "tried",
         "retry_after",
     )
@@ -73,6 +76,7 @@
         self.sent_at = 0.0
         self.runs = 0
         self.refusals = 0
+        self.busy = 0
         self.tried: set[str] = set()
         self.retry_after = math.inf
 
@@ -132,7 +136,7 @@
             return [events.Log("late_reply", host=host_id)]
         peer = self.placement.peer(host_id)
         if _is_load(message.load):
-            peer.report(message.load, now)
+            peer.report(message.load, now, pending.route.name)
         self._close(pending)
         if message.body_length != len(message.body):
             return self._lost(pending, 502, "cut-reply", now)
@@ -303,7 +307,9 @@
         peer.note(failed, now)
         pending.runs += 1
         if failed and self._may_repeat(pending, now):
-            return self._repeat(pending, f"status-{message.status}", now)
+            if self.budget.take(pending.service):
+                reason = f"status-{message.status}"
+                return self._repeat(pending, reason, now)
         response = events.Response(
             message.status,
             message.headers,
@@ -332,7 +338,9 @@
             peer.note(True, now)
         if message.status == 429:
             return self._give_up(pending, reason, now)
-        if pending.refusals > MAX_REFUSALS:
+        if reason in execution.BUSY_REASONS:
+            pending.busy += 1
+        if pending.busy >= MAX_BUSY or pending.refusals > MAX_REFUSALS:
             return self._give_up(pending, reason, now)
         if reason == execution.SHED and not self.budget.take(pending.service):
             return self._give_up(pending, "retry-budget", now)
@@ -345,7 +353,8 @@
         """Repeat a request that may have run, if that does no harm."""
         pending.runs += 1
         if self._may_repeat(pending, now):
-            return self._repeat(pending, reason, now)
+            if self.budget.take(pending.service):
+                return self._repeat(pending, reason, now)
         return self._respond(pending, status, reason, now=now)
 
     def _may_repeat(self, pending: Pending, now: float) -> bool:
@@ -356,8 +365,6 @@
         return now + MIN_REPEAT_SECONDS < pending.deadline
 
     def _repeat(self, pending: Pending, reason: str, now: float) -> Actions:
-        if not self.budget.take(pending.service):
-            return self._respond(pending, 502, "retry-budget", now=now)
         log = self._log("repeated", pending, now, reason=reason)
         return [log, *self._dispatch(pending, now)]
 
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -23,6 +23,8 @@
 CLOSED_REASONS = frozenset(
     ("stopping", "leaving", "evacuated", "target-down", "other-service")
 )
+# The target has no room now.
+BUSY_REASONS = frozenset(("expected-wait", "queue-full", "waited-too-long"))
 # The target itself turned the request away, so the send counts as one.
 SHED = "shed"
 
@@ -370,7 +372,7 @@
             0,
             reason,
             0.0,
-            self.admission.load(),
+            self.admission.load(run.call.route),
         )
 
     def _suspect(self, run: Run, now: float) -> list[events.Record]:
@@ -444,7 +446,7 @@
     def _log(
         self, event: str, call: messages.Forward, **values: Any
     ) -> events.Log:
-        running, waiting, limit = self.admission.load()
+        running, waiting, limit, _ = self.admission.load()
         return events.Log(
             event,
             request=call.request_id,
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -82,7 +82,7 @@
 class TargetState(messages.Message):
     """Announce whether the target beside the sender takes new work.
 
-    load holds running and waiting requests and the limit.
+    load holds running and waiting requests, the limit and a latency.
     """
 
     __slots__ = ("service", "usable", "reason", "load")
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -652,7 +652,7 @@
 
     def render_metrics(self) -> bytes:
         """Return counters, gauges and durations as Prometheus text."""
-        running, waiting, limit = self.execution.admission.load()
+        running, waiting, limit, _ = self.execution.admission.load()
         self.metrics.set("target_running", running)
         self.metrics.set("target_waiting", waiting)
         self.metrics.set("target_limit", limit)
--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -10,11 +10,16 @@
 # until it is fuller than one farther away by this share of its limit.
 SAME_HOST = 0.0
 SAME_DOMAIN = 0.05
-SAME_REGION = 0.4
-OTHER_REGION = 0.6
+SAME_REGION = 0.7
+OTHER_REGION = 1.0
 FAILURE_WEIGHT = 1.5
 FAILURE_SMOOTHING = 0.15
 FAILURE_HALF_LIFE_SECONDS = 2.0
+# A target whose usual latency is beyond this share of the objective is
+# avoided, though not shut out: late answers are worth more than none.
+SLOW_SHARE = 0.8
+SLOW_WEIGHT = 1.5
+SLOW_HALF_LIFE_SECONDS = 3.0
 LOAD_HALF_LIFE_SECONDS = 1.0
 UNKNOWN_LOAD_SHARE = 0.4
 JITTER = 0.05
@@ -35,6 +40,7 @@
         "own",
         "failures",
         "failed_at",
+        "latencies",
         "aside_until",
         "usable",
         "silent",
@@ -48,13 +54,16 @@
         self.own = 0
         self.failures = 0.0
         self.failed_at = 0.0
+        self.latencies: dict[str, tuple[float, float]] = {}
         self.aside_until = 0.0
         self.usable = True
         self.silent = False
 
-    def report(self, load: list[int], now: float) -> None:
+    def report(self, load: list[int], now: float, route: str = "") -> None:
         """Take the load that a reply or an announcement carries."""
         running, waiting, limit = load[:3]
+        if route and len(load) > 3:
+            self.latencies[route] = (load[3] / 1000.0, now)
         self.load = float(running + waiting)
         self.limit = max(1, limit)
         self.reported_at = now
@@ -77,6 +86,14 @@
         self.failures = current + FAILURE_SMOOTHING * (failed - current)
         self.failed_at = now
 
+    def slowness(self, route: models.Route, now: float) -> float:
+        """Return by how much a route is too slow here, fading with time."""
+        latency, noted_at = self.latencies.get(route.name, (0.0, now))
+        excess = latency / route.objective - SLOW_SHARE
+        if excess <= 0.0:
+            return 0.0
+        return excess * math.exp2((noted_at - now) / SLOW_HALF_LIFE_SECONDS)
+
     def failure_share(self, now: float) -> float:
         """Return the recent share of failures, fading with time."""
         age = now - self.failed_at
@@ -124,7 +141,7 @@
                 continue
             if target.host_id in excluded:
                 continue
-            score = self.score(target, now)
+            score = self.score(target, route, now)
             score += JITTER * self.random_source.random()
             if score < best_score:
                 best, best_score = target, score
@@ -149,13 +166,16 @@
         peer = self.peer(host_id)
         return peer.usable and not peer.silent and now >= peer.aside_until
 
-    def score(self, target: models.Target, now: float) -> float:
+    def score(
+        self, target: models.Target, route: models.Route, now: float
+    ) -> float:
         """Return how costly the target is; the lowest score is best."""
         peer = self.peer(target.host_id)
         limit = peer.limit or target.slots
         load = (peer.expected_load(target.slots, now) + 1) / limit
         failures = FAILURE_WEIGHT * peer.failure_share(now)
-        return load + failures + self.distance(target)
+        slowness = SLOW_WEIGHT * peer.slowness(route, now)
+        return load + failures + slowness + self.distance(target)
 
     def distance(self, target: models.Target) -> float:
         """Return the cost of the way to a target."""
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -7,6 +7,8 @@
 # Targets whose entries lapsed while the source was away register again
 # within about two seconds of its return.
 REGISTER_AGAIN_SECONDS = 2.2
+# A removal that happens after the return must take effect within 2 s.
+REMOVAL_SECONDS = 1.6
 MAX_DEPARTED = 1024
 
 
@@ -26,7 +28,7 @@
         self.revision = 0
         self.operator_revision = 0
         self.held_until = 0.0
-        self.held: set[str] = set()
+        self.held: dict[str, float] = {}
 
     @property
     def ready(self) -> bool:
@@ -54,21 +56,30 @@
 
     def put_target(self, target: models.Target) -> None:
         """Add or replace a target."""
-        self.held.discard(target.id)
+        self.held.pop(target.id, None)
         self.departed.pop(target.id, None)
         if self.targets.get(target.id) != target:
             self.targets[target.id] = target
             self._index()
 
-    def remove_target(self, target_id: str, now: float) -> None:
-        """Remove a target, later if the source has just returned."""
+    def remove_target(
+        self, target_id: str, now: float, listed: bool = False
+    ) -> None:
+        """Remove a target, later if the source has just returned.
+
+        listed tells that a whole list lacks the target, so that it may have
+        lapsed at any time during the outage.
+        """
         target = self.targets.get(target_id)
         if target is None:
             return
-        if now < self.held_until and not target.draining:
-            self.held.add(target_id)
-        else:
+        if now >= self.held_until or target.draining:
             self._remove(target_id)
+            return
+        due = self.held_until
+        if not listed:
+            due = min(due, now + REMOVAL_SECONDS)
+        self.held.setdefault(target_id, due)
 
     def replace_targets(
         self, targets: dict[str, models.Target], revision: int, now: float
@@ -76,7 +87,7 @@
         """Take a whole list of targets."""
         self.revision = max(self.revision, revision)
         for target_id in self.targets.keys() - targets.keys():
-            self.remove_target(target_id, now)
+            self.remove_target(target_id, now, listed=True)
         for target in targets.values():
             self.put_target(target)
 
@@ -86,11 +97,11 @@
 
     def expire(self, now: float) -> list[str]:
         """Remove the targets that did not register again; return them."""
-        if not self.held or now < self.held_until:
-            return []
-        gone = sorted(self.held)
-        self.held.clear()
+        gone = sorted(
+            target_id for target_id, due in self.held.items() if now >= due
+        )
         for target_id in gone:
+            del self.held[target_id]
             self._remove(target_id)
         return gone
 
--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -32,11 +32,13 @@
         random_source: base_interfaces.RandomSource,
         apply: Apply,
         report: Report,
+        sleep: Callable[[float], None] = eventlet.sleep,
     ) -> None:
         self.topic = topic
         self.source = source
         self.apply = apply
         self.report = report
+        self.sleep = sleep
         self.backoff = readers.Backoff(
             random_source, FIRST_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS
         )
@@ -53,9 +55,9 @@
         if self.revision is None:
             result = self.source.read(self.topic)
         else:
-            result = self.source.watch(
-                self.topic, self.revision, WATCH_SECONDS
-            )
+            # After a failure, an answer without a wait tells of the return.
+            wait = 0.0 if self.failing else WATCH_SECONDS
+            result = self.source.watch(self.topic, self.revision, wait)
         if result.is_error():
             self._failed(result.error)
             return
@@ -68,7 +70,7 @@
             self.report(self.topic, "")
         self.apply(self.topic, reading, complete)
         if not complete and reading.changes:
-            eventlet.sleep(GATHER_SECONDS[self.topic])
+            self.sleep(GATHER_SECONDS[self.topic])
 
     def _failed(self, failure: interfaces.SourceFailure) -> None:
         if failure.kind == interfaces.HISTORY:
@@ -78,4 +80,4 @@
         if not self.failing:
             self.failing = True
             self.report(self.topic, failure.kind)
-        eventlet.sleep(self.backoff.next())
+        self.sleep(self.backoff.next())
--- /dev/null
+++ b/tests/mesh_load.py
@@ -0,0 +1,344 @@
+"""Play the load of a deployment through the planes, in simulated time."""
+
+import heapq
+import math
+import random
+
+from hickorythread import messages as base_messages
+from hickorythread.mesh import entry
+from hickorythread.mesh import events
+from hickorythread.mesh import execution
+from hickorythread.mesh import messages
+from hickorythread.mesh import models
+from hickorythread.mesh import view
+from tests import mesh_builders as build
+
+REGIONS = {
+    "launceston": "north",
+    "devonport": "north",
+    "hobart": "south",
+    "kingston": "south",
+}
+SAME_DOMAIN_SECONDS = 0.0002
+SAME_REGION_SECONDS = 0.0009
+OTHER_REGION_SECONDS = 0.012
+TICK_SECONDS = 0.02
+LATE_CREDIT = 0.3
+
+
+class Kind:
+    """Describe one kind of request and the calls that it makes."""
+
+    def __init__(self, route, work, deadline, rate, worth=1, calls=()):
+        self.route = route
+        self.work = work
+        self.deadline = deadline
+        self.rate = rate
+        self.worth = worth
+        self.calls = calls
+
+
+class Host:
+    """Hold the planes of one sidecar and the target beside it."""
+
+    def __init__(self, load, number, service, domain, slots, speed):
+        self.load = load
+        self.host_id = f"10.0.0.{number}"
+        self.service = service
+        self.domain = domain
+        self.speed = speed
+        self.shed_share = 0.0
+        settings = build.make_settings(
+            number, failure_domain=domain, regions=REGIONS, service=service
+        )
+        self.view = view.View()
+        self.entry = entry.EntryPlane(
+            settings, self.view, random.Random(number)
+        )
+        self.execution = execution.ExecutionPlane(settings, self.view, 0.0)
+        self.target = build.make_target(
+            number, service=service, failure_domain=domain, slots=slots
+        )
+        self.busy = 0
+
+    def perform(self, actions):
+        for action in actions:
+            if isinstance(action, events.Send):
+                self.load.send(self, action.host_id, action.message)
+            elif isinstance(action, events.Respond):
+                self.load.responded(action.number, action.response)
+            elif isinstance(action, events.Run):
+                self.load.run(self, action)
+            elif isinstance(action, events.Broadcast):
+                for other in self.load.hosts.values():
+                    if other is not self:
+                        self.load.send(self, other.host_id, action.message)
+            elif isinstance(action, events.Probe):
+                answer = events.Answer(200, [], b"", instance=self.target.id)
+                self.load.at(self.load.now, self.probed, answer)
+
+    def probed(self, answer):
+        self.perform(self.execution.probed(answer, self.load.now))
+
+    def receive(self, sender, message):
+        now = self.load.now
+        if isinstance(message, base_messages.Reply):
+            self.perform(self.entry.reply(sender, message, now))
+        elif isinstance(message, messages.Forward):
+            self.perform(self.execution.call(sender, message, now))
+        elif isinstance(message, base_messages.Cancel):
+            self.perform(self.execution.cancel(sender, message.call_id, now))
+        elif isinstance(message, messages.TargetState):
+            self.perform(self.entry.target_state(sender, message, now))
+
+
+class Load:
+    """Play kinds of requests against hosts and sum up the credit."""
+
+    def __init__(self, hosts, kinds, seed=1):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.heap = []
+        self.last_event = 0
+        self.last_number = 0
+        self.waiting = {}
+        self.credit = dict.fromkeys(kinds, 0.0)
+        self.owed = dict.fromkeys(kinds, 0.0)
+        self.statuses = {}
+        self.sends = self.far_sends = 0
+        self.kinds = kinds
+        self.hosts = {}
+        for number, (service, domain, slots, speed) in enumerate(hosts, 1):
+            host = Host(self, number, service, domain, slots, speed)
+            self.hosts[host.host_id] = host
+        configuration = models.Configuration(
+            1,
+            [kind.route for kind in kinds.values()],
+            {
+                host.service: models.Service(
+                    host.service, "/healthz", 120, 3.0, 16.0
+                )
+                for host in self.hosts.values()
+            },
+            models.Limits(16384, 1 << 20, 3.0, 15.0),
+        )
+        targets = {host.target.id: host.target for host in self.hosts.values()}
+        for host in self.hosts.values():
+            host.view.put_configuration(configuration)
+            host.view.replace_targets(targets, 1, 0.0)
+            host.entry.view_changed()
+            for host_id in self.hosts:
+                host.entry.peer_connected(host_id)
+            self.at(0.0, self.tick, host)
+
+    def at(self, when, function, *arguments):
+        self.last_event += 1
+        entry_ = (when, self.last_event, function, arguments)
+        heapq.heappush(self.heap, entry_)
+
+    def play(self, seconds):
+        for name, kind in self.kinds.items():
+            if kind.rate:
+                self.at(self.random.expovariate(kind.rate), self.arrive, name)
+        while self.heap and self.heap[0][0] < seconds:
+            self.now, _, function, arguments = heapq.heappop(self.heap)
+            function(*arguments)
+
+    def tick(self, host):
+        host.perform(host.entry.tick(self.now))
+        host.perform(host.execution.tick(self.now))
+        self.at(self.now + TICK_SECONDS, self.tick, host)
+
+    def arrive(self, name):
+        kind = self.kinds[name]
+        self.at(
+            self.now + self.random.expovariate(kind.rate), self.arrive, name
+        )
+        host = self.random.choice(list(self.hosts.values()))
+        self.owed[name] += kind.worth
+        self.request(host, name, self.now, 1, None)
+
+    def request(self, host, name, started, retries, done):
+        kind = self.kinds[name]
+        self.last_number += 1
+        remaining = kind.deadline - (self.now - started)
+        request = build.make_request(
+            self.last_number,
+            host=kind.route.host,
+            path=f"{kind.route.prefix}{self.last_number}",
+            received_at=self.now,
+            remaining=remaining,
+        )
+        self.waiting[self.last_number] = (host, name, started, retries, done)
+        host.perform(host.entry.request(request, self.now))
+
+    def responded(self, number, response):
+        host, name, started, retries, done = self.waiting.pop(number)
+        kind = self.kinds[name]
+        if done is not None:
+            done(response.status == 200)
+            return
+        key = (name, response.status)
+        self.statuses[key] = self.statuses.get(key, 0) + 1
+        took = self.now - started
+        if response.status == 200:
+            late = took > kind.route.objective
+            self.credit[name] += kind.worth * (LATE_CREDIT if late else 1.0)
+        elif retries and took < kind.deadline / 2:
+            wait = min(response.retry_after, (kind.deadline - took) / 3)
+            if kind.route.idempotent or response.status == 503:
+                self.at(
+                    self.now + wait,
+                    self.request,
+                    host,
+                    name,
+                    started,
+                    retries - 1,
+                    None,
+                )
+
+    def send(self, host, host_id, message):
+        other = self.hosts[host_id]
+        delay = 0.0
+        if other is not host:
+            delay = OTHER_REGION_SECONDS
+            if other.domain == host.domain:
+                delay = SAME_DOMAIN_SECONDS
+            elif REGIONS[other.domain] == REGIONS[host.domain]:
+                delay = SAME_REGION_SECONDS
+        if isinstance(message, messages.Forward):
+            self.sends += 1
+            self.far_sends += other.domain != host.domain
+        self.at(self.now + delay, other.receive, host.host_id, message)
+
+    def run(self, host, action):
+        kind = next(
+            kind
+            for kind in self.kinds.values()
+            if kind.route.name == action.call.route
+        )
+        if self.random.random() < host.shed_share:
+            self.at(
+                self.now + 0.001,
+                self.finish,
+                host,
+                action,
+                events.Answer(503, [], b"", not_run=True),
+            )
+            return
+        work = kind.work * host.speed * self.random.lognormvariate(-0.18, 0.6)
+        calls = [
+            name
+            for name, times, share in kind.calls
+            for _ in range(times)
+            if self.random.random() < share
+        ]
+        self.at(self.now + work, self.call_next, host, action, calls)
+
+    def call_next(self, host, action, calls):
+        if self.now > action.deadline:
+            self.finish(host, action, events.Answer(504, [], b""))
+            return
+        if not calls:
+            self.finish(host, action, events.Answer(200, [], b""))
+            return
+
+        def done(good):
+            if good:
+                self.call_next(host, action, calls[1:])
+            else:
+                self.finish(host, action, events.Answer(500, [], b""))
+
+        self.request(host, calls[0], self.now, 0, done)
+
+    def finish(self, host, action, answer):
+        if action.run_id in host.execution.runs:
+            host.perform(
+                host.execution.answered(action.run_id, answer, self.now)
+            )
+
+    def summary(self):
+        shares = {
+            name: self.credit[name] / owed
+            for name, owed in self.owed.items()
+            if owed
+        }
+        total = sum(self.credit.values()) / sum(self.owed.values())
+        return total, shares, self.far_sends / max(1, self.sends)
+
+
+def guild(scale=1.0, seed=1, slots=12):
+    """Return the Guild's deployment at some multiple of its usual load."""
+    hosts = [("spec-desk", "launceston", slots, 0.7)]
+    speeds = {
+        "spec-desk": (0.7, 1.6, 0.7, 1.6),
+        "commission-desk": (0.6, 1.0, 1.4, 1.0),
+        "kiln-desk": (0.7, 1.6, 0.7, 0.7),
+    }
+    for service, values in speeds.items():
+        hosts += [
+            (service, domain, slots, speed)
+            for domain, speed in zip(REGIONS, values, strict=True)
+        ]
+
+    def route(name, service, **values):
+        return build.make_route(name, destinations=[(service, 1.0)], **values)
+
+    kinds = {
+        "panel-spec": Kind(
+            route("panel-spec", "spec-desk", priority=2),
+            0.16,
+            2.0,
+            185 * scale,
+            1,
+            [("builder-check", 2, 0.7)],
+        ),
+        "commission-lodge": Kind(
+            route(
+                "commission-lodge",
+                "commission-desk",
+                idempotent=False,
+                objective=0.6,
+                timeout=1.2,
+                home_regions=["north"],
+            ),
+            0.21,
+            2.5,
+            59.5 * scale,
+            2,
+            [("kiln-slots", 1, 0.7)],
+        ),
+        "kiln-book": Kind(
+            route(
+                "kiln-book",
+                "kiln-desk",
+                idempotent=False,
+                objective=0.4,
+                timeout=0.8,
+                priority=0,
+            ),
+            0.11,
+            1.5,
+            56.2 * scale,
+            3,
+        ),
+        "builder-check": Kind(
+            route("builder-check", "commission-desk", objective=0.15),
+            0.04,
+            0.5,
+            0,
+            0,
+        ),
+        "kiln-slots": Kind(
+            route("kiln-slots", "kiln-desk", objective=0.15),
+            0.04,
+            0.5,
+            0,
+            0,
+        ),
+    }
+    return Load(hosts, kinds, seed)
+
+
+def rounded(value):
+    return math.floor(value * 1000) / 1000
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -3,11 +3,14 @@
 import collections
 import random
 
+import expression
 import pytest
 
 from hickorythread.mesh import admission
+from hickorythread.mesh import interfaces
 from hickorythread.mesh import placement
 from hickorythread.mesh import routing
+from hickorythread.mesh import watcher
 from tests import mesh_builders as build
 
 NOTHING = frozenset()
@@ -193,6 +196,53 @@
     assert sorted(made.targets) == ["t1", "t2"]
 
 
+def test_removal_seen_after_an_outage_takes_effect_in_time():
+    """Guards against work for a target whose entry was removed 2 s ago."""
+    made = build.make_view()
+    made.source_returned(10.0)
+    made.remove_target("t2", 10.1)
+    assert made.expire(11.6) == []
+    assert made.expire(11.8) == ["t2"]
+
+
+class FailingSource:
+    """Fail some reads, then answer; records how long each one waits."""
+
+    def __init__(self, failures):
+        self.failures = failures
+        self.waits = []
+
+    def read(self, topic):
+        return expression.Ok(interfaces.Reading([], 5))
+
+    def watch(self, topic, after, wait):
+        self.waits.append(wait)
+        if self.failures:
+            self.failures -= 1
+            failure = interfaces.SourceFailure("unreachable")
+            return expression.Error(failure)
+        return expression.Ok(interfaces.Reading([], after))
+
+
+def test_return_of_the_source_is_noticed_before_the_next_change():
+    """Guards against a grace time that starts with the next removal."""
+    source = FailingSource(2)
+    reports = []
+    follower = watcher.Watcher(
+        interfaces.TARGETS,
+        source,
+        random.Random(1),
+        lambda *_: None,
+        lambda topic, kind: reports.append(kind),
+        sleep=lambda seconds: None,
+    )
+    for _ in range(5):
+        follower.step()
+    assert reports == ["unreachable", ""]
+    long = watcher.WATCH_SECONDS
+    assert source.waits == [long, 0.0, 0.0, long]
+
+
 def test_draining_target_is_removed_at_once_after_an_outage():
     """Guards against work for a target that left during an outage."""
     made = build.make_view()
