Keep one waiter, one token bucket and one way to run a process

Cause: the sidecar's node had copies of the waiter of the older node and of the token bucket of the readers, and the command line ran two processes by the same lines. Change: waiters.py, readers.TokenBucket and _run_process serve both. Behaviour stays as it is. make lint typecheck: clean; tests of the sidecar, the node, the command line and imports pass.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -151,14 +151,9 @@
     """
     from hickorythread import settings as settings_module
 
-    document = _load(settings)
-    result = settings_module.Settings.from_config(document)
-    if result.is_error():
-        raise _problems_error(settings, result.error)
-    import importlib
-
-    module = importlib.import_module("hickorythread.node")
-    return _serve(lambda: module.run(result.ok))
+    return _run_process(
+        settings, settings_module.Settings.from_config, "hickorythread.node"
+    )
 
 
 def sidecar(*, settings: str) -> int:
@@ -171,14 +166,22 @@
     """
     from hickorythread.mesh import settings as settings_module
 
-    document = _load(settings)
-    result = settings_module.Settings.from_config(document)
-    if result.is_error():
-        raise _problems_error(settings, result.error)
+    return _run_process(
+        settings,
+        settings_module.Settings.from_config,
+        "hickorythread.platform.sidecar",
+    )
+
+
+def _run_process(path: str, check: Callable[[Any], Any], module: str) -> int:
+    """Run a module with the checked settings of a file."""
     import importlib
 
-    module = importlib.import_module("hickorythread.platform.sidecar")
-    return _serve(lambda: module.run(result.ok))
+    result = check(_load(path))
+    if result.is_error():
+        raise _problems_error(path, result.error)
+    loaded = importlib.import_module(module)
+    return _serve(lambda: loaded.run(result.ok))
 
 
 def check(file: str, *, format: Format = "text") -> int:
--- a/src/hickorythread/mesh/admission.py
+++ b/src/hickorythread/mesh/admission.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from hickorythread import exceptions
+from hickorythread import readers
 
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 1.0
@@ -43,29 +44,6 @@
         self.deadline = deadline
 
 
-class Bucket:
-    """Allow a number of starts per second, with a small burst."""
-
-    __slots__ = ("rate", "burst", "tokens", "filled_at")
-
-    def __init__(self, rate: float, burst: float, now: float) -> None:
-        self.rate = rate
-        self.burst = burst
-        self.tokens = burst
-        self.filled_at = now
-
-    def take(self, now: float) -> bool:
-        """Take one token if there is one."""
-        self.tokens = min(
-            self.burst, self.tokens + (now - self.filled_at) * self.rate
-        )
-        self.filled_at = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 class Admission:
     """Decide which requests run, wait or are refused."""
 
@@ -77,7 +55,7 @@
         self.latency = FIRST_LATENCY_SECONDS
         self.latencies: dict[str, float] = {}
         self.cold_until = 0.0
-        self.bucket: Bucket | None = None
+        self.bucket: readers.TokenBucket | None = None
         self.paused = True
 
     @property
@@ -112,7 +90,9 @@
             return
         self.cold_until = now + seconds
         if self.bucket is None:
-            self.bucket = Bucket(WARMUP_SHARE * rate, WARMUP_BURST, now)
+            self.bucket = readers.TokenBucket(
+                WARMUP_SHARE * rate, WARMUP_BURST, now
+            )
 
     def cold(self, now: float) -> bool:
         """Return whether the target still warms up."""
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -23,6 +23,7 @@
 from hickorythread import server
 from hickorythread import streams
 from hickorythread import utils
+from hickorythread import waiters
 from hickorythread.mesh import entry
 from hickorythread.mesh import events
 from hickorythread.mesh import exchange
@@ -59,33 +60,6 @@
 EXIT_INVARIANT = 5
 
 
-class Waiter:
-    """Hold the task that waits for the response to one request."""
-
-    __slots__ = ("connected", "since", "task", "response", "done")
-
-    def __init__(self, connected: Callable[[], bool], since: float) -> None:
-        self.connected = connected
-        self.since = since
-        self.task: Any = None
-        self.response: events.Response | None = None
-        self.done = False
-
-    def wait(self) -> events.Response | None:
-        """Return the response, or None if the client left."""
-        if not self.done:
-            self.task = eventlet.getcurrent()
-            hubs.get_hub().switch()
-        return self.response
-
-    def deliver(self, response: events.Response | None) -> None:
-        """Hand over the response and wake the waiting task."""
-        self.response = response
-        self.done = True
-        if self.task is not None:
-            hubs.get_hub().schedule_call_global(0, self.task.switch)
-
-
 class Node:
     """Run one sidecar until it is asked to stop."""
 
@@ -144,7 +118,7 @@
         self.failing_topics: set[str] = set()
         self.newer: tuple[str, int, float] | None = None
         self.asked_at = 0.0
-        self.waiters: dict[int, Waiter] = {}
+        self.waiters: dict[int, waiters.Waiter] = {}
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
         self.last_number = 0
         self.reported_dropped = 0
@@ -628,10 +602,10 @@
     ) -> events.Response | None:
         """Run a request; returns None if the client left meanwhile."""
         now = self.clock.monotonic()
-        waiter = Waiter(connected, now)
+        waiter = waiters.Waiter(connected, now)
         self.waiters[request.number] = waiter
         self.perform(self.entry.request(request, now))
-        response = waiter.wait()
+        response: events.Response | None = waiter.wait()
         if response is not None:
             elapsed = self.clock.monotonic() - request.received_at
             self.request_duration.record(elapsed)
--- a/src/hickorythread/node.py
+++ b/src/hickorythread/node.py
@@ -31,6 +31,7 @@
 from hickorythread import streams
 from hickorythread import utils
 from hickorythread import validation
+from hickorythread import waiters
 
 TICK_SECONDS = 0.1
 TRAFFIC_TICK_SECONDS = 0.02
@@ -42,37 +43,6 @@
 EXIT_INVARIANT = 5
 
 
-class Waiter:
-    """Hold the task that waits for the response to one request.
-
-    The task switches to the hub itself: an event and a timer for each
-    request take longer than the planes do.
-    """
-
-    __slots__ = ("connected", "since", "task", "response", "done")
-
-    def __init__(self, connected: Callable[[], bool], since: float) -> None:
-        self.connected = connected
-        self.since = since
-        self.task: Any = None
-        self.response: events.Response | None = None
-        self.done = False
-
-    def wait(self) -> events.Response | None:
-        """Return the response, or None if the caller left."""
-        if not self.done:
-            self.task = eventlet.getcurrent()
-            hubs.get_hub().switch()
-        return self.response
-
-    def deliver(self, response: events.Response | None) -> None:
-        """Hand over the response and wake the waiting task."""
-        self.response = response
-        self.done = True
-        if self.task is not None:
-            hubs.get_hub().schedule_call_global(0, self.task.switch)
-
-
 class Node:
     """Run one node until it is asked to stop."""
 
@@ -127,7 +97,7 @@
         self.upstream = adapters.UpstreamClient(
             settings.upstream_address, DEFAULT_CONNECTIONS, clock=clock
         )
-        self.waiters: dict[int, Waiter] = {}
+        self.waiters: dict[int, waiters.Waiter] = {}
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
         self.idle_workers: list[Any] = []
         self.last_request_id = 0
@@ -522,10 +492,10 @@
     ) -> events.Response | None:
         """Run a request; returns None if the caller left meanwhile."""
         started = self.clock.monotonic()
-        waiter = Waiter(connected, started)
+        waiter = waiters.Waiter(connected, started)
         self.waiters[request.request_id] = waiter
         self.perform(self.entry.request(request, started))
-        response = waiter.wait()
+        response: events.Response | None = waiter.wait()
         if response is not None:
             elapsed = self.clock.monotonic() - started
             self.request_duration.record(elapsed)
--- /dev/null
+++ b/src/hickorythread/waiters.py
@@ -0,0 +1,38 @@
+"""Tasks that wait for a response."""
+
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet import hubs
+
+
+class Waiter:
+    """Hold the task that waits for the response to one request.
+
+    The task switches to the hub itself: an event and a timer for each
+    request take longer than the planes do.
+    """
+
+    __slots__ = ("connected", "since", "task", "response", "done")
+
+    def __init__(self, connected: Callable[[], bool], since: float) -> None:
+        self.connected = connected
+        self.since = since
+        self.task: Any = None
+        self.response: Any = None
+        self.done = False
+
+    def wait(self) -> Any:
+        """Return the response, or None if the caller left."""
+        if not self.done:
+            self.task = eventlet.getcurrent()
+            hubs.get_hub().switch()
+        return self.response
+
+    def deliver(self, response: Any) -> None:
+        """Hand over the response and wake the waiting task."""
+        self.response = response
+        self.done = True
+        if self.task is not None:
+            hubs.get_hub().schedule_call_global(0, self.task.switch)
