Name peers in log lines by a key of their own

Cause: the lines of the entry node had two keys "host", the node that wrote them and the one beside the target, so that a trace showed the wrong node; two events repeated "version". Seen while the operations page was written. Change: the other node is "peer"; a test forbids keys that stand in every line.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -133,7 +133,7 @@
         """Handle the outcome that the node beside a target reports."""
         pending = self.pending.get(message.call_id)
         if pending is None or pending.host_id != host_id:
-            return [events.Log("late_reply", host=host_id)]
+            return [events.Log("late_reply", peer=host_id)]
         peer = self.placement.peer(host_id)
         if _is_load(message.load):
             peer.report(message.load, now, pending.route.name)
@@ -173,7 +173,7 @@
             return []
         peer.silent = silent
         actions: Actions = [
-            events.Log("peer_silent", host=host_id, silent=silent)
+            events.Log("peer_silent", peer=host_id, silent=silent)
         ]
         if not silent:
             return actions
@@ -196,7 +196,7 @@
         return [
             events.Log(
                 "peer_target",
-                host=host_id,
+                peer=host_id,
                 usable=message.usable,
                 reason=message.reason,
             )
@@ -447,7 +447,7 @@
             request=pending.request.request_id,
             route=pending.route.name,
             service=pending.service,
-            host=pending.host_id,
+            peer=pending.host_id,
             target=pending.target_id,
             load=round(peer.load, 1),
             limit=peer.limit,
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -347,7 +347,6 @@
                 if self.view.put_configuration(change.configuration):
                     logs.info(
                         "version_in_force",
-                        version=self.view.version,
                         routes=len(change.configuration.routes),
                         origin="source",
                     )
@@ -501,7 +500,7 @@
         self.streams.send(peer.host_id, self.execution.state())
         if not self.view.ready:
             self.streams.send(peer.host_id, exchange.ask(self.view))
-        logs.info("peer_connected", host=peer.host_id)
+        logs.info("peer_connected", peer=peer.host_id)
 
     def stream_closed(self, host_id: str, reason: str) -> None:
         """Settle what a lost stream carried."""
@@ -518,7 +517,7 @@
         if self.streams.find(host_id) is not None:
             self.entry.peer_connected(host_id)
         if known:
-            logs.info("peer_lost", host=host_id, reason=reason)
+            logs.info("peer_lost", peer=host_id, reason=reason)
 
     def message_received(
         self, stream: streams.Stream, received: codec.Received
@@ -568,8 +567,7 @@
         elif result.ok:
             logs.info(
                 "view_from_peer",
-                host=host_id,
-                version=self.view.version,
+                peer=host_id,
                 revision=self.view.revision,
             )
             self._view_changed(before)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -43,7 +43,7 @@
 def table(title):
     """Return the first cells of the table under a title."""
     _, _, rest = PAGE.read_text("utf-8").partition(f"\n## {title}\n")
-    section = rest.partition("\n## ")[0]
+    section = rest.partition("\n#")[0]
     return {
         line.split("|")[1].strip(" `")
         for line in section.splitlines()
@@ -105,3 +105,15 @@
     assert [line["host"] for line in document["lines"]] == ["b", "a"]
     assert cli.main(["trace", "r2", str(path)]) == 1
     assert cli.main(["trace", "r1", str(tmp_path / "none")]) == 2
+
+
+def test_no_event_repeats_a_key_of_every_line():
+    """Guards against a value that hides the node that wrote the line."""
+    reserved = {"time", "level", "host", "version", "event"}
+    for folder in FOLDERS:
+        for path in (ROOT / "src" / "hickorythread" / folder).glob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+                if isinstance(node, ast.Call) and node.args:
+                    if EMITTERS.match(ast.unparse(node.func)):
+                        keys = {item.arg for item in node.keywords}
+                        assert not keys & reserved, ast.unparse(node)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -30,6 +30,7 @@
     def __init__(self, address, instance):
         self.instance = instance
         self.runs = []
+        self.seconds = 0.0
         self.release = threading.Event()
         self.release.set()
         target = self
@@ -49,6 +50,7 @@
                     return
                 target.runs.append((self.path, dict(self.headers), body))
                 target.release.wait(WAIT_SECONDS)
+                time.sleep(target.seconds)
                 self.answer(200, f"{target.instance} {self.path}".encode())
 
             do_GET = do_POST = handle_any
@@ -333,3 +335,50 @@
     # New work goes to the other target while this node still serves.
     assert mesh.request(SOUTH, "/x/5")[2] == b"i-1 /x/5"
     assert mesh.processes[SOUTH].wait(WAIT_SECONDS) == 0
+
+
+def test_what_reaches_a_target_during_a_stop_is_answered(mesh):
+    """Guards against requests that are accepted when it is too late.
+
+    Clients keep coming until the process is gone; a connection that is
+    refused or closed unread harms nobody.
+    """
+    if mesh.processes[SOUTH].poll() is not None:
+        mesh.start(SOUTH)
+    mesh.wait_until(lambda: mesh.is_ready(SOUTH))
+    mesh.wait_until(lambda: mesh.is_usable(SOUTH))
+    for target in mesh.targets.values():
+        target.seconds = 0.3
+    answered = set()
+    process = mesh.processes[SOUTH]
+
+    def keep_asking(number):
+        for attempt in range(10_000):
+            path = f"/two/stop-{number}-{attempt}"
+            try:
+                if mesh.request(SOUTH, path)[0] == 200:
+                    answered.add(path)
+            except (OSError, http.client.HTTPException):
+                if process.poll() is not None:
+                    return
+                time.sleep(0.02)
+
+    threads = [
+        threading.Thread(target=keep_asking, args=(number,))
+        for number in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    mesh.wait_until(lambda: len(answered) >= 4)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(WAIT_SECONDS) == 0
+    for thread in threads:
+        thread.join(WAIT_SECONDS)
+    reached = {
+        path
+        for target in mesh.targets.values()
+        for path, _, _ in target.runs
+        if path.startswith("/two/stop-")
+    }
+    assert len(reached) > 4
+    assert reached <= answered
