--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -69,7 +69,7 @@
     monkeypatch.chdir(ROOT)
     text = PAGE.read_text("utf-8")
     shown = re.findall(
-        r"^```sh\n(hickorythread trace .*?)\n```\n+```text\n(.*?)^```",
+        r"^```sh\n(hickorythread trace [^\n]*)\n```\n+```text\n(.*?)^```",
         text,
         re.M | re.S,
     )
