Keep the sidecar alive on SIGHUP

Cause: SIGHUP tells that the settings file changed, and a process that does not handle it ends. Change: the sidecar writes a line and goes on; settings are still read at start only. test_changed_settings_do_not_end_the_process covers it (not run on the code before). make lint typecheck: clean; test_sidecar, test_operations: 16 passed.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -181,6 +181,10 @@
         logs.info("node_draining", waiting=len(self.waiters))
         self._spawn(self._drain)
 
+    def reload(self) -> None:
+        """Note that the settings changed; they are read at start only."""
+        logs.warning("reload_ignored", reason="settings are read at start")
+
     def ready(self) -> bool:
         """Return whether clients may use this node."""
         return self.view.ready and not self.stopping
@@ -653,6 +657,9 @@
         signal.signal(
             number, lambda *_: hub.schedule_call_global(0, node.stop)
         )
+    signal.signal(
+        signal.SIGHUP, lambda *_: hub.schedule_call_global(0, node.reload)
+    )
     gc.collect()
     gc.freeze()
     node.finished.wait()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -315,6 +315,14 @@
         mesh.store.refuse_status = 0
 
 
+def test_changed_settings_do_not_end_the_process(mesh):
+    """Guards against SIGHUP, which ends a process that does not handle it."""
+    mesh.processes[NORTH].send_signal(signal.SIGHUP)
+    mesh.wait_until(lambda: "reload_ignored" in mesh.log(NORTH))
+    assert mesh.request(NORTH, "/two/hup")[0] == 200
+    assert mesh.processes[NORTH].poll() is None
+
+
 def test_stopping_node_answers_what_it_has_read(mesh):
     """Guards against a planned stop that cuts a request off."""
     target = mesh.targets[SOUTH]
