Pass on a target's failure when no repeat ends better

Cause: an idempotent request whose target answered 500 is sent to another target.

Change: the entry node keeps the target's answer while it repeats the request and passes it on unless a repeat ends better. The log line of the answer names the reason for which the repeat did not. The part of the retry budget is set in one method, so that changed settings can reach it.

Ruled out: passing on failures of requests that must not repeat; those were passed on before.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -40,7 +40,8 @@
     """Hold a request until its answer is known.
 
     runs counts the sends that may have run, refusals those that did not;
-    tried holds the hosts that were asked.
+    tried holds the hosts that were asked. failure is a target's own failure,
+    kept for the client in case that no repeat ends better.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         "busy",
         "tried",
         "retry_after",
+        "failure",
     )
 
     def __init__(
@@ -79,6 +81,7 @@
         self.busy = 0
         self.tried: set[str] = set()
         self.retry_after = math.inf
+        self.failure: events.Response | None = None
 
 
 class EntryPlane:
@@ -99,11 +102,12 @@
             random_source,
         )
         self.splitter = routing.Splitter(random_source)
-        self.budget = retries.RetryBudget(RETRY_SHARE * settings.retry_share)
+        self.budget = retries.RetryBudget()
         self.router: routing.Router | None = None
         self.pending: dict[int, Pending] = {}
         self.by_number: dict[int, Pending] = {}
         self.timers: list[tuple[float, int]] = []
+        self.set_budget()
         # A restarted process must not reuse the call ids of the last one.
         self.last_call_id = random_source.getrandbits(48)
 
@@ -235,12 +239,17 @@
         oldest.pop(self.settings.host_id, None)
         return oldest
 
-    def view_changed(self) -> None:
-        """Put the newest view in force."""
-        hosts = {target.host_id for target in self.view.targets.values()}
+    def set_budget(self) -> None:
+        """Take this node's part of what the mesh may repeat."""
+        self.budget.share = RETRY_SHARE * self.settings.retry_share
         slack = RETRY_SLACK_SHARE * self.settings.retry_slack
+        hosts = {target.host_id for target in self.view.targets.values()}
         reserve = max(MIN_RETRY_RESERVE, slack / max(1, len(hosts)))
         self.budget.set_reserve(reserve)
+
+    def view_changed(self) -> None:
+        """Put the newest view in force."""
+        self.set_budget()
         configuration = self.view.configuration
         if configuration is None:
             return
@@ -306,21 +315,31 @@
         peer = self.placement.peer(pending.host_id)
         peer.note(failed, now)
         pending.runs += 1
+        response = events.Response(
+            message.status, message.headers, message.body, from_target=True
+        )
         if failed and self._may_repeat(pending, now):
             if self.budget.take(pending.service):
+                pending.failure = response
                 reason = f"status-{message.status}"
                 return self._repeat(pending, reason, now)
-        response = events.Response(
-            message.status,
-            message.headers,
-            message.body,
-            from_target=True,
-        )
+        return self._pass_on(pending, response, "", now)
+
+    def _pass_on(
+        self,
+        pending: Pending,
+        response: events.Response,
+        reason: str,
+        now: float,
+    ) -> Actions:
+        """Answer a client with the response of a target.
+
+        reason tells why a repeat did not end better, empty if there was none.
+        """
+        status = response.status
         return [
             events.Respond(pending.request.number, response),
-            self._log(
-                "answered", pending, now, status=message.status, reason=""
-            ),
+            self._log("answered", pending, now, status=status, reason=reason),
         ]
 
     def _not_run(
@@ -385,6 +404,9 @@
         retry_after: float = 0.0,
         now: float = 0.0,
     ) -> Actions:
+        """Answer a client without the result of a target."""
+        if pending.failure is not None:
+            return self._pass_on(pending, pending.failure, reason, now)
         response = events.Response(
             status, [], b"", reason, retry_after=retry_after
         )
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -109,6 +109,46 @@
     assert response.status == 500 and response.from_target
 
 
+def fail_at_target(plane, actions, status=500):
+    """Let the target that was asked answer with a failure of its own."""
+    (call,) = build.sent(actions, Forward)
+    host_id = plane.pending[call.call_id].host_id
+    reply = build.make_reply(call.call_id, messages.COMPLETE, status)
+    return plane.reply(host_id, reply, 0.01)
+
+
+@pytest.mark.parametrize("end", ["not-run", "unknown", "timeout"])
+def test_failure_of_the_target_reaches_the_client_if_no_repeat_works(end):
+    """Guards against a target's answer that the node replaces by its own."""
+    plane = build.make_entry()
+    actions = fail_at_target(plane, plane.request(build.make_request(), 0.0))
+    (again,) = build.sent(actions, Forward)
+    host_id = plane.pending[again.call_id].host_id
+    if end == "timeout":
+        actions = plane.tick(1.1)
+    else:
+        outcome = {"not-run": messages.NOT_RUN, "unknown": messages.UNKNOWN}
+        reply = build.make_reply(
+            again.call_id, outcome[end], 503, reason="leaving"
+        )
+        actions = plane.reply(host_id, reply, 0.02)
+        while calls := build.sent(actions, Forward):
+            host_id = plane.pending[calls[0].call_id].host_id
+            reply = build.make_reply(
+                calls[0].call_id, outcome[end], 503, reason="leaving"
+            )
+            actions = plane.reply(host_id, reply, 0.03)
+    (response,) = responses(actions)
+    assert (response.status, response.from_target) == (500, True)
+
+
+def test_failure_without_another_target_is_passed_on():
+    plane = build.make_entry(connected=1)
+    actions = fail_at_target(plane, plane.request(build.make_request(), 0.0))
+    (response,) = responses(actions)
+    assert (response.status, response.from_target) == (500, True)
+
+
 def test_repeats_stay_within_the_budget():
     """Guards against retries that multiply the load of an outage."""
     plane = build.make_entry()
@@ -274,13 +314,19 @@
     plane.probed(events.Failure("connect"), 0.2)
     assert build.of_type(plane.tick(0.5), events.Probe)
     plane.probed(events.Answer(200, [], b"", False, "t1", 3.0), 0.6)
-    starts = 0
-    for number in range(2, 60):
-        actions = plane.call("10.0.0.2", build.make_call(number), 0.6)
+    starts = []
+    for number in range(2, 200):
+        now = 0.6 + number * 0.01
+        actions = plane.call("10.0.0.2", build.make_call(number), now)
+        actions += plane.tick(now)
         for run in build.of_type(actions, events.Run):
-            starts += 1
-            plane.answered(run.run_id, events.Answer(200, [], b""), 0.6)
-    assert 1 <= starts <= 3
+            starts.append(now)
+            plane.answered(run.run_id, events.Answer(200, [], b""), now)
+    # The rate of the service is 16/s; 1.5 times that and 5 are the bound.
+    for begin in starts:
+        within = [at for at in starts if begin <= at < begin + 1.0]
+        assert len(within) <= 16 * 1.5 + 5
+    assert len(starts) >= 16 * 2
 
 
 def test_only_a_confirmed_crash_makes_a_request_suspect():
