Follow the settings file and use more of the rate of cold targets

Cause, settings: SIGHUP was logged and ignored, and a file that changed without a signal went unnoticed until the next restart.

Cause, warm-up: after a loss of power all targets are cold, and the starts per second bind: 0.9 of the warm-up rate and a burst of 2, while 1.5 times the rate and 5 more in any second are allowed (both from the settings).

Change: the file is read again on SIGHUP and when its time or size changes; what may change in a running process takes effect at once, the rest is named in the log, and a file with mistakes changes nothing. A cold target gets half of what is allowed beyond its rate.

Ruled out: the time to start (1.2 s of the window, most of it the loss of power itself) and refusals by the entry nodes.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -170,10 +170,13 @@
         settings,
         settings_module.Settings.from_config,
         "hickorythread.platform.sidecar",
+        settings,
     )
 
 
-def _run_process(path: str, check: Callable[[Any], Any], module: str) -> int:
+def _run_process(
+    path: str, check: Callable[[Any], Any], module: str, *arguments: Any
+) -> int:
     """Run a module with the checked settings of a file."""
     import importlib
 
@@ -181,7 +184,7 @@
     if result.is_error():
         raise _problems_error(path, result.error)
     loaded = importlib.import_module(module)
-    return _serve(lambda: loaded.run(result.ok))
+    return _serve(lambda: loaded.run(result.ok, *arguments))
 
 
 def check(file: str, *, format: Format = "text") -> int:
--- a/src/hickorythread/mesh/admission.py
+++ b/src/hickorythread/mesh/admission.py
@@ -11,10 +11,6 @@
 LATENCY_SMOOTHING = 0.1
 FIRST_LATENCY_SECONDS = 0.1
 MAX_ROUTES = 1024
-# The bound on a cold target holds in any second, so that its bucket stays
-# small beside its rate.
-WARMUP_BURST = 2.0
-WARMUP_SHARE = 0.9
 MAX_QUEUE_PER_SLOT = 8
 # Answers take up to this many mean latencies often enough to matter.
 LATENCY_MARGIN = 2.0
@@ -82,7 +78,9 @@
             int(latency * 1000),
         ]
 
-    def set_cold(self, seconds: float, rate: float, now: float) -> None:
+    def set_cold(
+        self, seconds: float, rate: float, burst: float, now: float
+    ) -> None:
         """Limit the rate of starts until the target is warm.
 
         A report that ends sooner than an earlier one shortens the time.
@@ -93,9 +91,7 @@
             return
         self.cold_until = now + seconds
         if self.bucket is None:
-            self.bucket = readers.TokenBucket(
-                WARMUP_SHARE * rate, WARMUP_BURST, now
-            )
+            self.bucket = readers.TokenBucket(rate, burst, now)
 
     def cold(self, now: float) -> bool:
         """Return whether the target still warms up."""
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -18,6 +18,9 @@
 DEFAULT_SLOTS = 4
 DEFAULT_HEALTH_PATH = "/healthz"
 MAX_SETTLED_CALLS = 4096
+# A cold target gets a part of what exceeds its rate, so that starts which
+# arrive bunched stay within the bound.
+WARMUP_EXCESS_SHARE = 0.5
 
 # Reasons of a refusal that the whole target shares for some time.
 CLOSED_REASONS = frozenset(
@@ -427,8 +430,13 @@
     def _set_cold(self, seconds: float, now: float) -> None:
         self.warm_at = now + seconds
         service = self.service
-        if service is not None and service.warmup_rate > 0:
-            self.admission.set_cold(seconds, service.warmup_rate, now)
+        if service is None or service.warmup_rate <= 0:
+            return
+        excess = WARMUP_EXCESS_SHARE * (self.settings.warmup_rate_factor - 1)
+        burst = WARMUP_EXCESS_SHARE * self.settings.warmup_burst
+        self.admission.set_cold(
+            seconds, service.warmup_rate * (1 + excess), max(1.0, burst), now
+        )
 
     def _announce(self, now: float) -> list[events.Record]:
         """Tell all nodes when the target starts or stops taking work."""
--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -90,6 +90,9 @@
     def watch(self, topic: str, after: int, wait: float) -> ReadResult:
         """Return the changes after a revision, waiting some seconds."""
 
+    def use_address(self, address: str) -> None:
+        """Read from another address from now on."""
+
 
 class Dialect(Protocol):
     """Translate requests and responses between wire and data path."""
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -33,6 +33,7 @@
 from hickorythread.mesh import links
 from hickorythread.mesh import messages
 from hickorythread.mesh import settings as mesh_settings
+from hickorythread.mesh import settings_file
 from hickorythread.mesh import target_client
 from hickorythread.mesh import view as mesh_view
 from hickorythread.mesh import watcher
@@ -43,6 +44,7 @@
 ASK_SECONDS = 0.5
 BEHIND_SECONDS = 0.5
 RECONNECT_MAX_SECONDS = 1.5
+SETTINGS_CHECK_SECONDS = 1.0
 FLUSH_SECONDS = 0.1
 FLUSH_LINES = 16
 ORDINARY_LINES_PER_SECOND = 300
@@ -70,9 +72,12 @@
         dialect: interfaces.Dialect,
         clock: base_interfaces.Clock,
         random_source: random.Random,
+        followed: settings_file.SettingsFile | None = None,
     ) -> None:
         now = clock.monotonic()
         self.settings = settings
+        self.followed = followed
+        self.source = source
         self.dialect = dialect
         self.clock = clock
         self.random_source = random_source
@@ -168,6 +173,7 @@
             self._tick,
             self._check_clients,
             self._check_links,
+            self._follow_settings,
             self._flush,
         ):
             self._spawn(task)
@@ -182,8 +188,13 @@
         self._spawn(self._drain)
 
     def reload(self) -> None:
-        """Note that the settings changed; they are read at start only."""
-        logs.warning("reload_ignored", reason="settings are read at start")
+        """Take over what changed in the settings file."""
+        if self.followed is None:
+            return
+        changed = self.followed.reload()
+        if "source_address" in changed:
+            self.source.use_address(self.settings.source_address)
+        self.entry.set_budget()
 
     def ready(self) -> bool:
         """Return whether clients may use this node."""
@@ -263,6 +274,13 @@
             self.perform(self.entry.tick(now))
             self.perform(self.execution.tick(now))
 
+    def _follow_settings(self) -> None:
+        """Notice a settings file that changes without a signal."""
+        while self.followed is not None:
+            eventlet.sleep(SETTINGS_CHECK_SECONDS)
+            if self.followed.changed():
+                self.reload()
+
     def _check_clients(self) -> None:
         """Cancel the requests of clients that have disconnected."""
         while True:
@@ -641,11 +659,11 @@
     settings: mesh_settings.Settings,
     source: interfaces.Source,
     dialect: interfaces.Dialect,
+    followed: settings_file.SettingsFile | None = None,
 ) -> int:
     """Run a sidecar until SIGTERM or SIGINT; return the exit code."""
-    node = Node(
-        settings, source, dialect, utils.SystemClock(), random.Random()
-    )
+    clock = utils.SystemClock()
+    node = Node(settings, source, dialect, clock, random.Random(), followed)
     try:
         node.start()
     except OSError as error:
--- a/src/hickorythread/mesh/settings.py
+++ b/src/hickorythread/mesh/settings.py
@@ -14,7 +14,9 @@
 
     host_id is the IP address of the host, regions maps failure domains to
     their regions; addresses are IP:port. The whole mesh may retry
-    retry_share of the requests for a service and retry_slack more.
+    retry_share of the requests for a service and retry_slack more. A cold
+    target may get, in any second, warmup_rate_factor of its warm-up rate and
+    warmup_burst more.
     """
 
     __slots__ = (
@@ -32,6 +34,8 @@
         "grace_seconds",
         "retry_share",
         "retry_slack",
+        "warmup_rate_factor",
+        "warmup_burst",
         "log_level",
     )
 
@@ -50,6 +54,8 @@
         grace_seconds: float,
         retry_share: float,
         retry_slack: float,
+        warmup_rate_factor: float = 1.0,
+        warmup_burst: float = 2.0,
         name: str = "",
         log_level: str = "info",
     ) -> None:
@@ -67,6 +73,8 @@
         self.grace_seconds = grace_seconds
         self.retry_share = retry_share
         self.retry_slack = retry_slack
+        self.warmup_rate_factor = warmup_rate_factor
+        self.warmup_burst = warmup_burst
         self.log_level = log_level
 
     @property
@@ -74,6 +82,15 @@
         """Return the region of the failure domain."""
         return self.regions.get(self.failure_domain, "")
 
+    def take(self, name: str, other: "Settings") -> None:
+        """Take one setting over from others; its readers see the change."""
+        if name == "regions":
+            # The planes share this map.
+            self.regions.clear()
+            self.regions.update(other.regions)
+        else:
+            setattr(self, name, getattr(other, name))
+
     @classmethod
     def from_config(
         cls, document: Mapping[str, Any]
--- a/src/hickorythread/platform/sidecar.py
+++ b/src/hickorythread/platform/sidecar.py
@@ -3,12 +3,17 @@
 from hickorythread import utils
 from hickorythread.mesh import node
 from hickorythread.mesh import settings as mesh_settings
+from hickorythread.mesh import settings_file
 from hickorythread.platform import headers
 from hickorythread.platform import store
 
 
-def run(settings: mesh_settings.Settings) -> int:
-    """Run a sidecar until it is asked to stop; return the exit code."""
+def run(settings: mesh_settings.Settings, path: str) -> int:
+    """Run a sidecar until it is asked to stop; return the exit code.
+
+    path is the file of the settings, whose changes are followed.
+    """
     clock = utils.SystemClock()
     source = store.StoreClient(settings.source_address, settings.regions)
-    return node.run(settings, source, headers.Headers(clock))
+    followed = settings_file.SettingsFile(path, settings)
+    return node.run(settings, source, headers.Headers(clock), followed)
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -48,8 +48,12 @@
     """Read and watch the store; regions maps zones to their regions."""
 
     def __init__(self, address: str, regions: dict[str, str]) -> None:
-        host, port = utils.split_address(address)
         self.regions = regions
+        self.use_address(address)
+
+    def use_address(self, address: str) -> None:
+        """Read from another address from now on."""
+        host, port = utils.split_address(address)
         self.pool = urllib3.HTTPConnectionPool(
             host,
             port,
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -19,7 +19,7 @@
 DOMAINS = ("launceston", "devonport", "hobart")
 
 
-def make_settings(number=1, **values):
+def make_settings_document(number=1, **values):
     fields = {
         "host_id": f"10.0.0.{number}",
         "failure_domain": DOMAINS[(number - 1) % len(DOMAINS)],
@@ -34,8 +34,14 @@
         "grace_seconds": 6,
         "retry_share": 0.2,
         "retry_slack": 60,
+        "warmup_rate_factor": 1.5,
+        "warmup_burst": 5,
     }
-    return settings.Settings(**(fields | values))
+    return fields | values
+
+
+def make_settings(number=1, **values):
+    return settings.Settings(**make_settings_document(number, **values))
 
 
 def make_route(name="specs", **values):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -316,6 +316,8 @@
         "bounds.grace_s": "6",
         "bounds.retry_ratio": "0.2",
         "bounds.retry_slack": "60",
+        "bounds.warmup_overage": "1.5",
+        "bounds.warmup_slack": "5",
     }
     rendered = re.sub(r"\{\{(.*?)\}\}", lambda m: values[m[1]], text)
     result = settings.Settings.from_config(json.loads(rendered))
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -316,9 +316,22 @@
 
 
 def test_changed_settings_do_not_end_the_process(mesh):
-    """Guards against SIGHUP, which ends a process that does not handle it."""
-    mesh.processes[NORTH].send_signal(signal.SIGHUP)
-    mesh.wait_until(lambda: "reload_ignored" in mesh.log(NORTH))
+    """Guards against SIGHUP, which ends a process that does not handle it.
+
+    The file may also change without a signal.
+    """
+    path = mesh.folder / f"{NORTH}.json"
+    settings = json.loads(path.read_text("utf-8"))
+    for number in (1, 2):
+        settings["retry_slack"] += 1
+        path.write_text(json.dumps(settings), "utf-8")
+        if number == 1:
+            mesh.processes[NORTH].send_signal(signal.SIGHUP)
+        mesh.wait_until(
+            lambda number=number: (
+                mesh.log(NORTH).count("changed=retry_slack") == number
+            )
+        )
     assert mesh.request(NORTH, "/two/hup")[0] == 200
     assert mesh.processes[NORTH].poll() is None
 
