Give both nodes one life cycle and one set of keepalive options

Cause: starting tasks, guarding them, binding listeners, signals and exit codes stood in the node and in the sidecar; the options of long connections stood in the client of targets and in that of the store.

Change: process.Process holds the life cycle and keepalive.OPTIONS the options; the store's connections get the time-out of unacknowledged data as well. Parameters and attributes that nothing used are gone. The test that compares events with the operators' page reads process.py too. No behaviour of the data path changes.

--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -265,7 +265,7 @@
         for work in self.admission.take_expired(now):
             refusal = self.admission.refusal("waited-too-long")
             actions += self._refuse(work.item, refusal)
-        reason = self._closed(now)
+        reason = self._closed()
         if reason:
             for work in self.admission.take_if(lambda work: True):
                 actions += self._not_run(work.item, 503, reason)
@@ -291,7 +291,7 @@
         self.stopping = True
         return self._announce(now)
 
-    def _closed(self, now: float) -> str:
+    def _closed(self) -> str:
         """Return why the target takes no new work, empty if it does."""
         if self.stopping:
             return "stopping"
@@ -314,7 +314,7 @@
     ) -> exceptions.Refusal | None:
         if call.service != self.settings.service:
             return exceptions.Refusal(503, "other-service", "wrong host")
-        reason = self._closed(now)
+        reason = self._closed()
         if reason:
             return exceptions.Refusal(503, reason, "no new work", 0.5)
         if call.remaining <= 0:
@@ -440,7 +440,7 @@
 
     def _announce(self, now: float) -> list[events.Record]:
         """Tell all nodes when the target starts or stops taking work."""
-        reason = self._closed(now)
+        reason = self._closed()
         # The limit that nodes remember is that of a cold target.
         state = (reason, self.admission.cold(now))
         if state == self.announced:
--- a/src/hickorythread/mesh/links.py
+++ b/src/hickorythread/mesh/links.py
@@ -1,6 +1,5 @@
 """Keep streams to the nodes that are needed, and notice silent ones."""
 
-from hickorythread import interfaces
 from hickorythread import messages as base_messages
 from hickorythread import streams
 
@@ -18,12 +17,10 @@
         host_id: str,
         port: int,
         manager: streams.Streams,
-        clock: interfaces.Clock,
     ) -> None:
         self.host_id = host_id
         self.port = port
         self.manager = manager
-        self.clock = clock
         self.wanted: set[str] = set()
         self.missing_since: dict[str, float] = {}
         self.probed_at: dict[str, float] = {}
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -1,25 +1,22 @@
 """One sidecar: connects the planes to the tasks that own the sockets."""
 
 from collections.abc import Callable
-import gc
 import random
-import signal
 import sys
 import time
-import traceback
 from typing import Any
 
 import eventlet
-from eventlet import event as eventlet_event
-from eventlet import hubs
 
 from hickorythread import codec
 from hickorythread import events as base_events
 from hickorythread import exceptions
 from hickorythread import interfaces as base_interfaces
+from hickorythread import keepalive
 from hickorythread import logs
 from hickorythread import messages as base_messages
 from hickorythread import metrics
+from hickorythread import process
 from hickorythread import server
 from hickorythread import streams
 from hickorythread import utils
@@ -55,12 +52,9 @@
 # What is accepted later could not be answered before the process is killed.
 ACCEPTING_SHARE = 0.62
 EXIT_MARGIN_SECONDS = 0.7
-EXIT_OK = 0
-EXIT_ADDRESS_IN_USE = 3
-EXIT_INVARIANT = 5
 
 
-class Node:
+class Node(process.Process):
     """Run one sidecar until it is asked to stop."""
 
     def __init__(
@@ -72,6 +66,7 @@
         random_source: random.Random,
         followed: settings_file.SettingsFile | None = None,
     ) -> None:
+        super().__init__()
         now = clock.monotonic()
         self.settings = settings
         self.followed = followed
@@ -108,9 +103,9 @@
             random_source,
         )
         self.streams.reconnect_max = RECONNECT_MAX_SECONDS
-        self.streams.socket_options = target_client.KEEPALIVE_OPTIONS
+        self.streams.socket_options = keepalive.OPTIONS
         self.links = links.Links(
-            settings.host_id, settings.stream_port, self.streams, clock
+            settings.host_id, settings.stream_port, self.streams
         )
         self.synchronizer = synchronizer.Synchronizer(
             settings,
@@ -126,11 +121,7 @@
         self.last_number = 0
         self.reported_dropped = 0
         self.report_dropped_at = 0.0
-        self.stopping = False
         self.accepting = True
-        self.failure: BaseException | None = None
-        self.finished = eventlet_event.Event()
-        self.listeners: list[Any] = []
         self.actions: dict[type, Callable[[Any], None]] = {
             events.Send: self._send,
             events.Broadcast: self._broadcast,
@@ -160,13 +151,9 @@
             ),
         )
         for address, app in apps:
-            listener = eventlet.listen(
-                utils.split_address(address), reuse_port=False
-            )
-            self.listeners.append(listener)
-            self._spawn(self._serve, listener, app)
+            self.spawn(self._serve, self.listen(address), app)
         for follower in self.synchronizer.watchers:
-            self._spawn(follower.run)
+            self.spawn(follower.run)
         for task in (
             self._tick,
             self._check_clients,
@@ -174,7 +161,7 @@
             self._follow_settings,
             self._flush,
         ):
-            self._spawn(task)
+            self.spawn(task)
         logs.info("node_started", incarnation=self.incarnation)
 
     def stop(self) -> None:
@@ -183,7 +170,7 @@
             return
         self.stopping = True
         logs.info("node_draining", waiting=len(self.waiters))
-        self._spawn(self._drain)
+        self.spawn(self._drain)
 
     def reload(self) -> None:
         """Take over what changed in the settings file."""
@@ -213,7 +200,7 @@
         # Lets the last replies leave the socket buffers.
         eventlet.sleep(TICK_SECONDS)
         logs.info("node_stopped", unfinished=len(self.waiters))
-        self._finish(None)
+        self.finish(None)
 
     def _wait_until_quiet(self, since: float, longest: float) -> None:
         """Serve clients until none has come for a while."""
@@ -239,26 +226,6 @@
             if self.accepting:
                 raise
 
-    def _finish(self, failure: BaseException | None) -> None:
-        if not self.finished.ready():
-            self.failure = failure
-            self.finished.send()
-
-    def _spawn(self, task: Callable[..., Any], *arguments: Any) -> None:
-        eventlet.spawn_n(self.guard, task, *arguments)
-
-    def guard(self, task: Callable[..., Any], *arguments: Any) -> None:
-        """Run a task; a broken invariant or a defect stops the node."""
-        try:
-            task(*arguments)
-        except Exception as error:
-            logs.error(
-                "task_failed",
-                error=f"{type(error).__name__}: {error}",
-                trace=traceback.format_exc(limit=-3),
-            )
-            self._finish(error)
-
     # Tasks.
 
     def _tick(self) -> None:
@@ -363,7 +330,7 @@
         else:
             stream = self.streams.find(host_id)
             if stream is None or not stream.send(message):
-                self._spawn(self.stream_closed, host_id, "not connected")
+                self.spawn(self.stream_closed, host_id, "not connected")
 
     def _send_to_self(self, message: Any, now: float) -> None:
         host_id = self.settings.host_id
@@ -391,7 +358,7 @@
             waiter.deliver(action.response)
 
     def _run(self, action: events.Run) -> None:
-        self._spawn(self._work, action)
+        self.spawn(self._work, action)
 
     def _work(self, action: events.Run) -> None:
         result = self.target.run(action)
@@ -406,7 +373,7 @@
         self.target.cancel(action.run_id)
 
     def _probe(self, action: events.Probe) -> None:
-        self._spawn(self._work_probe, action)
+        self.spawn(self._work_probe, action)
 
     def _work_probe(self, action: events.Probe) -> None:
         self.target.drop_idle()
@@ -551,22 +518,7 @@
     """Run a sidecar until SIGTERM or SIGINT; return the exit code."""
     clock = utils.SystemClock()
     node = Node(settings, source, dialect, clock, random.Random(), followed)
-    try:
-        node.start()
-    except OSError as error:
-        logs.error("address_in_use", error=str(error))
-        return EXIT_ADDRESS_IN_USE
-    hub = hubs.get_hub()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        # The hub runs the stop between tasks, not in the middle of one.
-        signal.signal(
-            number, lambda *_: hub.schedule_call_global(0, node.stop)
-        )
-    signal.signal(
-        signal.SIGHUP, lambda *_: hub.schedule_call_global(0, node.reload)
-    )
-    gc.collect()
-    gc.freeze()
-    node.finished.wait()
+    if not process.run(node):
+        return process.EXIT_ADDRESS_IN_USE
     node.decisions.flush(sys.stdout, logs.MAX_DECISIONS)
-    return EXIT_OK if node.failure is None else EXIT_INVARIANT
+    return node.exit_code()
--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -1,13 +1,13 @@
 """HTTP client of the target beside this node; sends nothing twice."""
 
 import http.client
-import socket
 from typing import Any
 
 import urllib3
 
 from hickorythread import http_client
 from hickorythread import interfaces as base_interfaces
+from hickorythread import keepalive
 from hickorythread import utils
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
@@ -21,18 +21,7 @@
 DEFAULT_IDLE_SECONDS = 4.0
 IDLE_SHARE = 0.7
 MAX_STRAY_ANSWERS = 4
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_COUNT = 2
-USER_TIMEOUT_MS = 3_000
 BODYLESS_METHODS = frozenset(("GET", "HEAD", "DELETE"))
-KEEPALIVE_OPTIONS: list[tuple[int, int, int | bytes]] = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-]
 
 
 class _Response(http_client.Response):
@@ -252,7 +241,7 @@
             self.host,
             self.port,
             timeout=CONNECT_SECONDS,
-            socket_options=KEEPALIVE_OPTIONS,
+            socket_options=keepalive.OPTIONS,
         )
         connection.connect()
         return connection
--- a/src/hickorythread/node.py
+++ b/src/hickorythread/node.py
@@ -1,16 +1,12 @@
 """One node: connects the planes to the tasks that own the sockets."""
 
 from collections.abc import Callable
-import gc
 import random
-import signal
 import sys
 import time
-import traceback
 from typing import Any
 
 import eventlet
-from eventlet import event as eventlet_event
 from eventlet import hubs
 
 from hickorythread import acceptance
@@ -25,6 +21,7 @@
 from hickorythread import messages
 from hickorythread import metrics
 from hickorythread import models
+from hickorythread import process
 from hickorythread import readers
 from hickorythread import server
 from hickorythread import settings as node_settings
@@ -38,12 +35,9 @@
 DEFAULT_CONNECTIONS = 1
 FLUSH_SECONDS = 0.05
 FLUSH_LINES = 8
-EXIT_OK = 0
-EXIT_ADDRESS_IN_USE = 3
-EXIT_INVARIANT = 5
 
 
-class Node:
+class Node(process.Process):
     """Run one node until it is asked to stop."""
 
     def __init__(
@@ -52,6 +46,7 @@
         clock: Any,
         random_source: random.Random,
     ) -> None:
+        super().__init__()
         self.settings = settings
         self.clock = clock
         self.random_source = random_source
@@ -103,10 +98,6 @@
         self.last_request_id = 0
         self.admitting = True
         self.leased = False
-        self.stopping = False
-        self.failure: BaseException | None = None
-        self.finished = eventlet_event.Event()
-        self.listeners: list[Any] = []
         self.actions: dict[type, Callable[[Any], None]] = {
             events.Send: self._send,
             events.SendCall: self._send_call,
@@ -143,17 +134,13 @@
             (self.settings.operator_address, server.OperatorApp(self)),
         )
         for address, app in apps:
-            listener = eventlet.listen(
-                utils.split_address(address), reuse_port=False
-            )
-            self.listeners.append(listener)
-            self._spawn(server.serve, listener, app)
-        self._spawn(self._tick_control)
-        self._spawn(self._tick_traffic)
-        self._spawn(self._check_callers)
-        self._spawn(self._flush)
+            self.spawn(server.serve, self.listen(address), app)
+        self.spawn(self._tick_control)
+        self.spawn(self._tick_traffic)
+        self.spawn(self._check_callers)
+        self.spawn(self._flush)
         if self.settings.seeds:
-            self._spawn(self._contact_seeds)
+            self.spawn(self._contact_seeds)
         logs.info("node_started", incarnation=self.incarnation)
         self.perform(self.control.start(self.clock.monotonic()))
 
@@ -163,7 +150,7 @@
             return
         self.stopping = True
         logs.info("node_draining")
-        self._spawn(self._drain)
+        self.spawn(self._drain)
 
     def _drain(self) -> None:
         now = self.clock.monotonic()
@@ -177,27 +164,7 @@
         # Lets the last replies leave the socket buffers.
         eventlet.sleep(TICK_SECONDS)
         logs.info("node_stopped", unfinished=len(self.waiters))
-        self._finish(None)
-
-    def _finish(self, failure: BaseException | None) -> None:
-        if not self.finished.ready():
-            self.failure = failure
-            self.finished.send()
-
-    def _spawn(self, task: Callable[..., Any], *arguments: Any) -> None:
-        eventlet.spawn_n(self.guard, task, *arguments)
-
-    def guard(self, task: Callable[..., Any], *arguments: Any) -> None:
-        """Run a task; a broken invariant or a defect stops the node."""
-        try:
-            task(*arguments)
-        except Exception as error:
-            logs.error(
-                "task_failed",
-                error=f"{type(error).__name__}: {error}",
-                trace=traceback.format_exc(limit=-3),
-            )
-            self._finish(error)
+        self.finish(None)
 
     def _tick_control(self) -> None:
         while True:
@@ -318,7 +285,7 @@
             worker = self.idle_workers.pop()
             hubs.get_hub().schedule_call_global(0, worker.switch, action)
         else:
-            self._spawn(self._work, action)
+            self.spawn(self._work, action)
 
     def _work(self, action: events.RunUpstream) -> None:
         """Run requests at the upstream, one at a time."""
@@ -331,7 +298,7 @@
 
     def _cancel_upstream(self, action: events.CancelUpstream) -> None:
         # It opens a connection and waits for the answer of the upstream.
-        self._spawn(self.upstream.cancel, action)
+        self.spawn(self.upstream.cancel, action)
 
     def _report_crash(self, action: events.ReportCrash) -> None:
         for host_id in action.host_ids:
@@ -340,7 +307,7 @@
     def _read_source(
         self, action: events.ReadSource | events.ReadCheckpoint
     ) -> None:
-        self._spawn(self._read_platform, action)
+        self.spawn(self._read_platform, action)
 
     def _read_platform(
         self, action: events.ReadSource | events.ReadCheckpoint
@@ -594,21 +561,8 @@
 def run(settings: node_settings.Settings) -> int:
     """Run a node until SIGTERM or SIGINT; returns the exit code."""
     node = Node.from_config(settings)
-    try:
-        node.start()
-    except OSError as error:
-        logs.error("address_in_use", error=str(error))
-        return EXIT_ADDRESS_IN_USE
-    hub = hubs.get_hub()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        # A handler may interrupt a log line or a core; the hub runs the
-        # stop between tasks.
-        signal.signal(
-            number, lambda *_: hub.schedule_call_global(0, node.stop)
-        )
-    gc.collect()
-    gc.freeze()
-    node.finished.wait()
+    if not process.run(node):
+        return process.EXIT_ADDRESS_IN_USE
     node.streams.stop()
     node.decisions.flush(sys.stderr)
-    return EXIT_OK if node.failure is None else EXIT_INVARIANT
+    return node.exit_code()
--- a/src/hickorythread/platform/headers.py
+++ b/src/hickorythread/platform/headers.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-from hickorythread import interfaces
 from hickorythread import server
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
@@ -38,9 +37,6 @@
 class Headers:
     """Read and write the platform's headers."""
 
-    def __init__(self, clock: interfaces.Clock) -> None:
-        self.clock = clock
-
     def read_request(
         self, number: int, environ: dict[str, Any], body: bytes, now: float
     ) -> events.Request:
--- a/src/hickorythread/platform/sidecar.py
+++ b/src/hickorythread/platform/sidecar.py
@@ -1,6 +1,5 @@
 """Run a sidecar on the platform."""
 
-from hickorythread import utils
 from hickorythread.mesh import node
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import settings_file
@@ -13,7 +12,6 @@
 
     path is the file of the settings, whose changes are followed.
     """
-    clock = utils.SystemClock()
     source = store.StoreClient(settings.source_address, settings.regions)
     followed = settings_file.SettingsFile(path, settings)
-    return node.run(settings, source, headers.Headers(clock), followed)
+    return node.run(settings, source, headers.Headers(), followed)
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -1,13 +1,13 @@
 """Read the platform's metadata store."""
 
 import json
-import socket
 from typing import Any
 from urllib import parse
 
 import expression
 import urllib3
 
+from hickorythread import keepalive
 from hickorythread import logs
 from hickorythread import utils
 from hickorythread.mesh import interfaces
@@ -23,15 +23,6 @@
 WATCH_MARGIN_SECONDS = 3.0
 MAX_ANSWER_BYTES = 64 << 20
 MAX_PAGES = 1000
-KEEPALIVE_SECONDS = 1
-KEEPALIVE_COUNT = 2
-_SOCKET_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
-]
 _FAILURES = {410: interfaces.HISTORY, 429: "rate"}
 
 
@@ -59,7 +50,7 @@
             port,
             maxsize=len(PREFIXES),
             retries=False,
-            socket_options=_SOCKET_OPTIONS,
+            socket_options=keepalive.OPTIONS,
         )
 
     def read(self, topic: str) -> interfaces.ReadResult:
--- a/tests/mesh_load.py
+++ b/tests/mesh_load.py
@@ -1,7 +1,6 @@
 """Play the load of a deployment through the planes, in simulated time."""
 
 import heapq
-import math
 import random
 
 from hickorythread import messages as base_messages
@@ -338,7 +337,3 @@
         ),
     }
     return Load(hosts, kinds, seed)
-
-
-def rounded(value):
-    return math.floor(value * 1000) / 1000
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,6 +17,7 @@
 from hickorythread import logs
 from hickorythread import messages
 from hickorythread import node as node_module
+from hickorythread import process
 from hickorythread import settings
 from hickorythread import status
 from hickorythread import waiters
@@ -86,7 +87,7 @@
         nodes[id(node)] = node
         started.append(eventlet.spawn(node.guard, task, *arguments))
 
-    monkeypatch.setattr(node_module.Node, "_spawn", spawn)
+    monkeypatch.setattr(node_module.Node, "spawn", spawn)
     yield
     for task in started:
         task.kill()
@@ -254,7 +255,7 @@
 
 def test_defect_in_a_task_stops_the_node(node):
     """Guards against a node that goes on without one of its tasks."""
-    node._spawn(lambda: 1 // 0)
+    node.spawn(lambda: 1 // 0)
     wait(node.finished.ready)
     assert isinstance(node.failure, ZeroDivisionError)
 
@@ -290,7 +291,7 @@
     with socket.create_server(("127.0.0.1", 0)) as taken:
         address = f"127.0.0.1:{taken.getsockname()[1]}"
         code = node_module.run(make_settings(**{name: address}))
-    assert code == node_module.EXIT_ADDRESS_IN_USE
+    assert code == process.EXIT_ADDRESS_IN_USE
 
 
 def test_sigterm_during_the_start_exits_zero():
@@ -311,7 +312,7 @@
     host, port = node.listeners[0].getsockname()
     address = f"{host}:{port}"
     code = node_module.run(make_settings(caller_address=address))
-    assert code == node_module.EXIT_ADDRESS_IN_USE
+    assert code == process.EXIT_ADDRESS_IN_USE
 
 
 def test_status_lists_versions_by_region_and_domain(node):
@@ -330,7 +331,7 @@
     handlers = [signal.getsignal(number) for number in numbers]
     eventlet.spawn_after(0.05, os.kill, os.getpid(), signal.SIGTERM)
     try:
-        assert node_module.run(make_settings()) == node_module.EXIT_OK
+        assert node_module.run(make_settings()) == process.EXIT_OK
     finally:
         gc.unfreeze()
         for number, handler in zip(numbers, handlers, strict=True):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -12,7 +12,15 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs" / "OPERATIONS.md"
 EXAMPLES = ROOT / "docs" / "incidents"
-FOLDERS = ("mesh", "platform")
+PACKAGE = ROOT / "src" / "hickorythread"
+# What a sidecar runs beside the modules that it shares with the older node.
+SOURCES = sorted(
+    [
+        PACKAGE / "process.py",
+        *PACKAGE.glob("mesh/*.py"),
+        *PACKAGE.glob("platform/*.py"),
+    ]
+)
 EMITTERS = re.compile(
     r"(events\.Log|logs\.(info|warning|error)|self\._log|self\.log)$"
 )
@@ -22,21 +30,20 @@
 def emitted():
     """Return the events and the metrics that the code names."""
     found, metrics = set(), set()
-    for folder in FOLDERS:
-        for path in (ROOT / "src" / "hickorythread" / folder).glob("*.py"):
-            for node in ast.walk(ast.parse(path.read_text("utf-8"))):
-                if not (isinstance(node, ast.Call) and node.args):
-                    continue
-                name = node.args[0]
-                if not isinstance(name, ast.Constant):
-                    continue
-                function = ast.unparse(node.func)
-                if EMITTERS.match(function):
-                    found.add(name.value)
-                elif function.startswith("self.metrics."):
-                    kind = function.split(".")[2]
-                    suffix = {"count": "_total", "duration": "_seconds"}
-                    metrics.add(PREFIX + name.value + suffix.get(kind, ""))
+    for path in SOURCES:
+        for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+            if not (isinstance(node, ast.Call) and node.args):
+                continue
+            name = node.args[0]
+            if not isinstance(name, ast.Constant):
+                continue
+            function = ast.unparse(node.func)
+            if EMITTERS.match(function):
+                found.add(name.value)
+            elif function.startswith("self.metrics."):
+                kind = function.split(".")[2]
+                suffix = {"count": "_total", "duration": "_seconds"}
+                metrics.add(PREFIX + name.value + suffix.get(kind, ""))
     return found, metrics
 
 
@@ -110,10 +117,9 @@
 def test_no_event_repeats_a_key_of_every_line():
     """Guards against a value that hides the node that wrote the line."""
     reserved = {"time", "level", "host", "version", "event"}
-    for folder in FOLDERS:
-        for path in (ROOT / "src" / "hickorythread" / folder).glob("*.py"):
-            for node in ast.walk(ast.parse(path.read_text("utf-8"))):
-                if isinstance(node, ast.Call) and node.args:
-                    if EMITTERS.match(ast.unparse(node.func)):
-                        keys = {item.arg for item in node.keywords}
-                        assert not keys & reserved, ast.unparse(node)
+    for path in SOURCES:
+        for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+            if isinstance(node, ast.Call) and node.args:
+                if EMITTERS.match(ast.unparse(node.func)):
+                    keys = {item.arg for item in node.keywords}
+                    assert not keys & reserved, ast.unparse(node)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from hickorythread import utils
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import settings
@@ -231,7 +230,7 @@
 
 def test_request_headers_are_read_and_set_by_the_system():
     """Guards against a caller that names its own service or target."""
-    translator = headers.Headers(utils.SystemClock())
+    translator = headers.Headers()
     request = translator.read_request(
         1,
         make_environ(
@@ -263,7 +262,7 @@
 
 
 def test_answer_tells_whether_it_ran():
-    translator = headers.Headers(utils.SystemClock())
+    translator = headers.Headers()
     shed = translator.read_answer(
         503, [["Hickorythread-Not-Executed", "1"]], b""
     )
@@ -283,7 +282,7 @@
 
 def test_answer_to_another_attempt_is_not_taken():
     """Guards against a late second answer on a kept connection."""
-    translator = headers.Headers(utils.SystemClock())
+    translator = headers.Headers()
     call = build.make_call(request_id="abc")
     mine = [["Hickorythread-Attempt-Id", "abc"]]
     other = [["Hickorythread-Attempt-Id", "abd"]]
@@ -293,7 +292,7 @@
 
 
 def test_retry_after_has_fractions():
-    translator = headers.Headers(utils.SystemClock())
+    translator = headers.Headers()
     response = events.Response(503, [], b"", "busy", 0.25)
     assert ("Retry-After", "0.250") in translator.response_headers(response)
 
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -19,9 +19,7 @@
 
 def make_client(server):
     clock = utils.SystemClock()
-    return target_client.TargetClient(
-        server.address, headers.Headers(clock), clock
-    )
+    return target_client.TargetClient(server.address, headers.Headers(), clock)
 
 
 def make_run(run_id=1, seconds=5.0, **values):
@@ -92,7 +90,7 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = f"127.0.0.1:{listener.getsockname()[1]}"
     clock = utils.SystemClock()
-    client = target_client.TargetClient(address, headers.Headers(clock), clock)
+    client = target_client.TargetClient(address, headers.Headers(), clock)
     assert client.run(make_run()).kind == "connect"
     assert client.probe("/healthz").kind == "connect"
 
