Go on from the last change that a watch returned

Cause: a watch that ends without changes names the revision of the store, and the next one went on from there. While the store's watches hear nothing, or if a change is made in the moment in which a watch ends, that revision is beyond a change that was not returned, so that it never comes.

Change: an answer without changes leaves the position as it is. If the store has forgotten what came after it, it says so and the whole list is read.

--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -83,7 +83,10 @@
         if result.is_error():
             return self._failed(result.error)
         reading = result.ok
-        self.revision = reading.revision
+        if complete or reading.changes:
+            # An answer without changes may pass over some that the source
+            # has not seen yet; from the older revision they still come.
+            self.revision = reading.revision
         self.backoff.reset()
         self._report("")
         self.handler.apply(self.topic, reading, complete)
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -272,6 +272,32 @@
     assert source.waits == [long, 0.0, 0.0, long]
 
 
+class DeafSource:
+    """Answer watches without the changes that raised the revision."""
+
+    def __init__(self):
+        self.positions = []
+
+    def read(self, topic):
+        return expression.Ok(interfaces.Reading([], 5))
+
+    def watch(self, topic, after, wait):
+        self.positions.append(after)
+        return expression.Ok(interfaces.Reading([], 9))
+
+
+def test_revision_without_its_changes_is_not_skipped():
+    """Guards against a removal that a watch did not hear and never will.
+
+    From the older position the source says that its history is lost.
+    """
+    source = DeafSource()
+    follower = make_watcher(source, WatchHandler())
+    for _ in range(3):
+        follower.step()
+    assert source.positions == [5, 5]
+
+
 def test_draining_target_is_removed_at_once_after_an_outage():
     """Guards against work for a target that left during an outage."""
     made = build.make_view()
