Count answers by route and service, calls to the store and ages

Cause: the metrics page named answers by status and reason only. It did not tell which service or route suffers, how old the view of a node is, nor how often the store is asked and with what outcome; with readers for a whole failure domain the last two are what an operator looks for first.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -338,7 +338,12 @@
         """
         status = response.status
         return [
-            events.Respond(pending.request.number, response),
+            events.Respond(
+                pending.request.number,
+                response,
+                pending.route.name,
+                pending.service,
+            ),
             self._log("answered", pending, now, status=status, reason=reason),
         ]
 
@@ -411,7 +416,12 @@
             status, [], b"", reason, retry_after=retry_after
         )
         return [
-            events.Respond(pending.request.number, response),
+            events.Respond(
+                pending.request.number,
+                response,
+                pending.route.name,
+                pending.service,
+            ),
             self._log("failed", pending, now, status=status, reason=reason),
         ]
 
--- a/src/hickorythread/mesh/events.py
+++ b/src/hickorythread/mesh/events.py
@@ -153,13 +153,21 @@
 
 
 class Respond(Record):
-    """Answer a client."""
+    """Answer a client; route and service are empty if none was found."""
 
-    __slots__ = ("number", "response")
+    __slots__ = ("number", "response", "route", "service")
 
-    def __init__(self, number: int, response: Response) -> None:
+    def __init__(
+        self,
+        number: int,
+        response: Response,
+        route: str = "",
+        service: str = "",
+    ) -> None:
         self.number = number
         self.response = response
+        self.route = route
+        self.service = service
 
 
 class Run(Record):
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -33,6 +33,7 @@
 from hickorythread.mesh import settings_file
 from hickorythread.mesh import synchronizer
 from hickorythread.mesh import target_client
+from hickorythread.mesh import telemetry
 from hickorythread.mesh import view as mesh_view
 
 TICK_SECONDS = 0.02
@@ -76,6 +77,7 @@
         self.random_source = random_source
         self.view = mesh_view.View()
         self.metrics = metrics.Metrics()
+        self.telemetry = telemetry.Telemetry(self.metrics)
         self.decisions = logs.set_up(
             settings.name, self.version, settings.log_level, sys.stdout
         )
@@ -115,6 +117,7 @@
             clock,
             random_source,
             self._view_changed,
+            self.telemetry.read,
         )
         self.waiters: dict[int, waiters.Waiter] = {}
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
@@ -351,10 +354,8 @@
         if waiter is None:
             self.metrics.count("responses_without_client")
         else:
-            status = str(action.response.status)
-            self.metrics.count(
-                "responses", status=status, reason=action.response.reason
-            )
+            now = self.clock.monotonic()
+            self.telemetry.answered(action, now - waiter.since)
             waiter.deliver(action.response)
 
     def _run(self, action: events.Run) -> None:
@@ -500,13 +501,12 @@
 
     def render_metrics(self) -> bytes:
         """Return counters, gauges and durations as Prometheus text."""
-        running, waiting, limit, _ = self.execution.admission.load()
-        self.metrics.set("target_running", running)
-        self.metrics.set("target_waiting", waiting)
-        self.metrics.set("target_limit", limit)
-        self.metrics.set("configuration_version", self.view.version)
-        self.metrics.set("targets", len(self.view.targets))
-        return self.metrics.render()
+        return self.telemetry.render(
+            self.entry,
+            self.execution,
+            self.synchronizer,
+            self.clock.monotonic(),
+        )
 
 
 def run(
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -64,6 +64,7 @@
         clock: base_interfaces.Clock,
         random_source: base_interfaces.RandomSource,
         view_changed: ViewChanged,
+        note_read: watcher.NoteRead = watcher.note_nothing,
     ) -> None:
         now = clock.monotonic()
         self.settings = settings
@@ -73,9 +74,11 @@
         self.random_source = random_source
         self.view_changed = view_changed
         self.started_at = now
+        # When a node that reads was last known to have an answer.
+        self.news_at = now
         self.readership = readership.Readership(settings.host_id, now)
         self.watchers = [
-            watcher.Watcher(topic, source, self, random_source)
+            watcher.Watcher(topic, source, self, random_source, note_read)
             for topic in (interfaces.OPERATOR, interfaces.TARGETS)
         ]
         self.failing_topics: set[str] = set()
@@ -119,6 +122,7 @@
     ) -> None:
         """Take what the source says of a topic, and tell the followers."""
         now = self.clock.monotonic()
+        self.news_at = now
         if reading.changes or complete:
             before = self.view.evacuated
             if topic == interfaces.OPERATOR:
@@ -240,6 +244,7 @@
         """Take the notice of a node of the failure domain."""
         now = self.clock.monotonic()
         if notice.fresh:
+            self.news_at = now
             self.readership.heard(host_id, now)
         if exchange.is_newer(self.view, notice):
             if now - self.asked_at >= MIN_ASK_SECONDS:
--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -1,5 +1,6 @@
 """Tasks that read the source and keep the view up to date."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import eventlet
@@ -16,6 +17,13 @@
 INACTIVE_SECONDS = 0.2
 
 
+NoteRead = Callable[[str, interfaces.ReadResult], None]
+
+
+def note_nothing(topic: str, result: interfaces.ReadResult) -> None:
+    """Leave reads uncounted."""
+
+
 class Handler(Protocol):
     """Decide when to read, and take what was read."""
 
@@ -52,10 +60,12 @@
         source: interfaces.Source,
         handler: Handler,
         random_source: base_interfaces.RandomSource,
+        note_read: NoteRead = note_nothing,
     ) -> None:
         self.topic = topic
         self.source = source
         self.handler = handler
+        self.note_read = note_read
         self.backoff = readers.Backoff(
             random_source, FIRST_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS
         )
@@ -80,6 +90,7 @@
             self.revision = self.handler.position(self.topic)
         complete = self.revision is None
         result = self._read()
+        self.note_read(self.topic, result)
         if result.is_error():
             return self._failed(result.error)
         reading = result.ok
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,47 @@
+"""Metrics of a sidecar: what operators find, and how much at the most."""
+
+import expression
+
+from hickorythread import metrics
+from hickorythread.mesh import events
+from hickorythread.mesh import interfaces
+from hickorythread.mesh import telemetry
+
+
+def answer(recorded, route, status=200, service="spec-desk"):
+    response = events.Response(status, [], b"", "busy")
+    recorded.answered(events.Respond(1, response, route, service), 0.1)
+
+
+def test_answers_are_counted_by_route_service_and_outcome():
+    recorded = telemetry.Telemetry(metrics.Metrics())
+    answer(recorded, "specs")
+    answer(recorded, "specs", 503)
+    text = recorded.metrics.render().decode()
+    labels = 'reason="busy",route="specs",service="spec-desk",status="503"'
+    assert f"hickorythread_responses_total{{{labels}}} 1.0" in text
+    count = 'hickorythread_service_seconds_count{service="spec-desk"} 2.0'
+    assert count in text
+
+
+def test_storm_of_routes_does_not_grow_the_page_without_end():
+    """Guards against memory that a caller's routes can take."""
+    recorded = telemetry.Telemetry(metrics.Metrics())
+    for number in range(1000):
+        answer(recorded, f"r{number}", service=f"s{number}")
+    labels = [dict(labels) for _, labels in recorded.metrics.counters]
+    assert len({item["route"] for item in labels}) == telemetry.MAX_ROUTES + 1
+    assert len(recorded.durations) == telemetry.MAX_SERVICES + 1
+    assert sum(recorded.metrics.counters.values()) == 1000
+
+
+def test_calls_to_the_source_are_counted_by_outcome():
+    recorded = telemetry.Telemetry(metrics.Metrics())
+    good = expression.Ok(interfaces.Reading([], 5))
+    bad = expression.Error(interfaces.SourceFailure("refused", "503"))
+    for result in (good, good, bad):
+        recorded.read(interfaces.TARGETS, result)
+    text = recorded.metrics.render().decode()
+    name = "hickorythread_source_calls_total"
+    assert f'{name}{{outcome="answered",topic="targets"}} 2.0' in text
+    assert f'{name}{{outcome="refused",topic="targets"}} 1.0' in text
