Let a new mesh learn its hosts before all nodes read the operator's keys

Cause: when the whole mesh starts, its targets register over three seconds.

Change: a node whose first list of targets was empty gathers changes for 2 s and leaves the operator's keys alone for 3 s. A node that starts later does neither. The response of the node itself is built in one place.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -412,9 +412,7 @@
         """Answer a client without the result of a target."""
         if pending.failure is not None:
             return self._pass_on(pending, pending.failure, reason, now)
-        response = events.Response(
-            status, [], b"", reason, retry_after=retry_after
-        )
+        response = _own_response(status, reason, retry_after)
         return [
             events.Respond(
                 pending.request.number,
@@ -432,9 +430,7 @@
         reason: str,
         retry_after: float = 0.0,
     ) -> Actions:
-        response = events.Response(
-            status, [], b"", reason, retry_after=retry_after
-        )
+        response = _own_response(status, reason, retry_after)
         return [
             events.Respond(request.number, response),
             events.Log(
@@ -492,6 +488,13 @@
         )
 
 
+def _own_response(
+    status: int, reason: str, retry_after: float
+) -> events.Response:
+    """Return a response that no target gave."""
+    return events.Response(status, [], b"", reason, retry_after=retry_after)
+
+
 def _is_load(values: list[Any]) -> bool:
     return (
         len(values) >= 3
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -29,10 +29,11 @@
 # The hosts of the failure domain are not known yet.
 FIRST_WATCH_SECONDS = 4.0
 FIRST_SECONDS = 8.0
-# Changes that follow one another closely share a call; when the mesh starts,
-# its targets register within a few seconds.
+# Changes that follow one another closely share a call.
 GATHER_SECONDS = 0.25
-START_GATHER_SECONDS = 1.0
+# When the whole mesh starts, its targets register within a few seconds; the
+# nodes wait for them to know who reads for whom.
+START_GATHER_SECONDS = 2.0
 START_SECONDS = 3.0
 
 ViewChanged = Callable[[frozenset[str]], None]
@@ -81,6 +82,8 @@
             watcher.Watcher(topic, source, self, random_source, note_read)
             for topic in (interfaces.OPERATOR, interfaces.TARGETS)
         ]
+        # Whether the source knew no target when this node started.
+        self.mesh_is_new = False
         self.failing_topics: set[str] = set()
         self.newer: tuple[str, int, float] | None = None
         self.asked_at = 0.0
@@ -89,10 +92,9 @@
 
     def active(self, topic: str) -> bool:
         """Return whether this node reads a topic itself."""
-        if topic == interfaces.OPERATOR and not self.view.revision:
-            # The targets tell which hosts there are, and so who reads.
-            return False
         now = self.clock.monotonic()
+        if topic == interfaces.OPERATOR and not self._hosts_known(now):
+            return False
         return self.readership.reads(self.peers.by_host, now)
 
     def position(self, topic: str) -> int | None:
@@ -113,7 +115,7 @@
 
     def gather_seconds(self) -> float:
         """Return how long changes are gathered for the next call."""
-        if self.clock.monotonic() - self.started_at < START_SECONDS:
+        if self._mesh_starts(self.clock.monotonic()):
             return START_GATHER_SECONDS
         return GATHER_SECONDS
 
@@ -147,6 +149,13 @@
         self.failing_topics.discard(topic)
         logs.info("source_left", topic=topic)
 
+    def _hosts_known(self, now: float) -> bool:
+        """Return whether the targets tell which hosts there are."""
+        return self.view.revision > 0 and not self._mesh_starts(now)
+
+    def _mesh_starts(self, now: float) -> bool:
+        return self.mesh_is_new and now - self.started_at < START_SECONDS
+
     def _apply_operator(
         self, reading: interfaces.Reading, complete: bool
     ) -> None:
@@ -174,6 +183,8 @@
         self, reading: interfaces.Reading, complete: bool, now: float
     ) -> None:
         if complete:
+            if not self.view.revision:
+                self.mesh_is_new = not reading.changes
             puts = {
                 change.target.id: change.target
                 for change in reading.changes
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -44,6 +44,33 @@
     )
 
 
+def test_new_mesh_waits_for_its_targets_before_all_nodes_read():
+    """Guards against whole configurations for every node of a new mesh."""
+    domain = view_domain.Domain(16)
+    targets = domain.source.targets
+    domain.source.targets = {}
+    domain.source.history.clear()
+    domain.play(1.0)
+    for target in targets.values():
+        domain.source.change(interfaces.PutTarget(target))
+        domain.play(0.05)
+    domain.play(3.0)
+    assert domain.lowest_version() == 1
+    # Each node reads the list of targets and watches it once or twice.
+    assert domain.source.calls <= 16 * 4 + 20
+
+
+def test_node_that_starts_later_does_not_wait():
+    """Guards against a restart that takes as long as that of the mesh."""
+    domain = make_domain()
+    member = domain.readers()[0]
+    again = view_domain.Member(domain, int(member.host_id.split(".")[-1]))
+    again.by_host = member.by_host
+    domain.members[member.host_id] = again
+    domain.play(0.8)
+    assert again.view.version == 1 and not again.synchronizer.mesh_is_new
+
+
 def test_new_version_reaches_all_followers():
     domain = make_domain()
     domain.source.put_version(2)
