Tell all nodes of a failure domain what its readers know

Cause: readers sent notices to the hosts that have a listed target.

Change: a node is told while it has a stream, by the failure domain that it names when the stream opens.

Ruled out: lost history, which the readers met at 2.2 s and left again at 2.3 s, and the position of their watches.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -394,7 +394,7 @@
         """Exchange states with a node that can be reached."""
         self.entry.peer_connected(peer.host_id)
         self.streams.send(peer.host_id, self.execution.state())
-        self.synchronizer.peer_opened(peer.host_id)
+        self.synchronizer.peer_opened(peer)
         logs.info("peer_connected", peer=peer.host_id)
 
     def stream_closed(self, host_id: str, reason: str) -> None:
@@ -411,6 +411,8 @@
         self.perform(self.execution.peer_lost(host_id, now))
         if self.streams.find(host_id) is not None:
             self.entry.peer_connected(host_id)
+        else:
+            self.synchronizer.peer_lost(host_id)
         if known:
             logs.info("peer_lost", peer=host_id, reason=reason)
 
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import Protocol
 
+from hickorythread import events
 from hickorythread import exceptions
 from hickorythread import interfaces as base_interfaces
 from hickorythread import logs
@@ -78,6 +79,8 @@
         # When a node that reads was last known to have an answer.
         self.news_at = now
         self.readership = readership.Readership(settings.host_id, now)
+        # The nodes of the failure domain, with or without a listed target.
+        self.neighbours: set[str] = set()
         self.watchers = [
             watcher.Watcher(topic, source, self, random_source, note_read)
             for topic in (interfaces.OPERATOR, interfaces.TARGETS)
@@ -243,14 +246,20 @@
         if host_id:
             self._ask(host_id, now)
 
-    def peer_opened(self, host_id: str) -> None:
+    def peer_opened(self, peer: events.Peer) -> None:
         """Exchange with a node that can be reached what each one lacks."""
-        if host_id in self.readership.ranked:
+        host_id = peer.host_id
+        if peer.failure_domain == self.settings.failure_domain:
+            self.neighbours.add(host_id)
             self.peers.send(host_id, exchange.notice(self.view, False))
         now = self.clock.monotonic()
         if not self.view.ready and now - self.asked_at >= MIN_ASK_SECONDS:
             self._ask(host_id, now)
 
+    def peer_lost(self, host_id: str) -> None:
+        """Forget a node that can no longer be reached."""
+        self.neighbours.discard(host_id)
+
     def noticed(self, host_id: str, notice: messages.ViewNotice) -> None:
         """Take the notice of a node of the failure domain."""
         now = self.clock.monotonic()
@@ -311,6 +320,6 @@
         if not self.readership.shared:
             return
         notice = exchange.notice(self.view, fresh)
-        for host_id in self.readership.ranked:
-            if host_id in self.peers.by_host:
-                self.peers.send(host_id, notice)
+        # A stream that fails while it is written to leaves the set.
+        for host_id in list(self.neighbours):
+            self.peers.send(host_id, notice)
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -65,8 +65,8 @@
     domain = make_domain()
     member = domain.readers()[0]
     again = view_domain.Member(domain, int(member.host_id.split(".")[-1]))
-    again.by_host = member.by_host
     domain.members[member.host_id] = again
+    again.connect(member.by_host)
     domain.play(0.8)
     assert again.view.version == 1 and not again.synchronizer.mesh_is_new
 
@@ -78,6 +78,18 @@
     assert domain.lowest_version() == 2
 
 
+def test_node_whose_target_has_left_is_still_told():
+    """Guards against a node that serves with an old view until it stops."""
+    domain = make_domain()
+    domain.source.change(interfaces.RemoveTarget("t9"))
+    domain.play(0.5)
+    member = domain.members["10.0.0.9"]
+    assert "t9" not in member.view.targets
+    domain.source.put_version(2)
+    domain.play(0.5)
+    assert member.view.version == 2
+
+
 def test_versions_in_a_storm_reach_all_followers_in_time():
     """Guards against a reader that falls behind what it must fetch."""
     domain = make_domain()
@@ -163,8 +175,8 @@
     domain = make_domain()
     member = domain.readers()[9]
     again = view_domain.Member(domain, int(member.host_id.split(".")[-1]))
-    again.by_host = member.by_host
     domain.members[member.host_id] = again
+    again.connect(member.by_host)
     domain.play(2.0)
     assert again.view.version == 1 and len(again.view.targets) == 16
 
--- a/tests/view_domain.py
+++ b/tests/view_domain.py
@@ -5,6 +5,7 @@
 
 import expression
 
+from hickorythread import events
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
 from hickorythread.mesh import synchronizer
@@ -97,6 +98,13 @@
             domain.at(0.001 * number, self.step, follower)
         domain.at(CHECK_SECONDS, self.check)
 
+    def connect(self, others):
+        """Open streams to other members, without a handshake."""
+        self.by_host = dict(others)
+        for host_id in others:
+            peer = events.Peer(host_id, 1, "north", "launceston")
+            self.synchronizer.peer_opened(peer)
+
     def send(self, host_id, message):
         self.domain.at(
             MESSAGE_SECONDS,
@@ -177,8 +185,9 @@
             member = Member(self, number)
             self.members[member.host_id] = member
         for member in self.members.values():
-            member.by_host = dict(self.members)
-            del member.by_host[member.host_id]
+            others = dict(self.members)
+            del others[member.host_id]
+            member.connect(others)
 
     def monotonic(self):
         return self.now
