End each response of a target by one absolute deadline

Cause: the timeout of the socket counted from the last byte, and the reads of a head and of a block went on until they were full. A target that sends a byte or an interim response every 20 ms held a slot, a task and the caller for as long as it liked; probes likewise.

Change: ConnectionReader moves to a module of its own and carries the deadline of the message; every wait for more bytes counts against it. Sending has one too. The body is read by one function for both clients, which had a copy each.

--- a/src/hickorythread/adapters.py
+++ b/src/hickorythread/adapters.py
@@ -17,6 +17,7 @@
 import urllib3
 import urllib3.exceptions
 
+from hickorythread import connection_reader
 from hickorythread import events
 from hickorythread import http_client
 from hickorythread import interfaces
@@ -175,7 +176,7 @@
         chunks: list[bytes] = []
         size = 0
         try:
-            while chunk := response.read1(http_client.READ_CHUNK_BYTES):
+            while chunk := response.read1(connection_reader.READ_CHUNK_BYTES):
                 size += len(chunk)
                 chunks.append(chunk)
                 if size > MAX_PLATFORM_RESPONSE_BYTES:
@@ -330,7 +331,8 @@
             run.sock.settimeout(remaining)
             deadline_ms = int((self.clock.wall() + remaining) * 1000)
             head += b"X-Deadline-Unix-Ms: %d\r\n\r\n" % deadline_ms
-            http_client.send(run.sock, head, action.body)
+            connection.reader.limit(remaining)
+            http_client.send(run.sock, head, action.body, remaining)
             answer, reusable = self._receive(connection, action)
             return answer
         except TimeoutError:
@@ -378,7 +380,7 @@
     ) -> tuple[events.TargetAnswered, bool]:
         reader = connection.reader
         response = http_client.read_response_head(connection, action.method)
-        body = self._read_body(connection.sock, response, action.deadline)
+        body = http_client.read_body(response, MAX_RESPONSE_BYTES)
         headers = []
         started_at = 0
         for field in response.fields:
@@ -394,31 +396,6 @@
         # the next request, so such a connection is not reused.
         return answer, not response.will_close and reader.is_empty()
 
-    def _read_body(
-        self, sock: Any, response: http_client.Response, deadline: float
-    ) -> bytes:
-        length = response.length
-        if length == 0:
-            return b""
-        if length is not None and length > MAX_RESPONSE_BYTES:
-            raise http.client.HTTPException("response body is too large")
-        if length is not None and length <= http_client.READ_CHUNK_BYTES:
-            return response.read()
-        chunks: list[bytes] = []
-        size = 0
-        while chunk := response.read(http_client.READ_CHUNK_BYTES):
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise http.client.HTTPException("response body is too large")
-            remaining = deadline - self.clock.monotonic()
-            if remaining <= 0:
-                raise TimeoutError
-            sock.settimeout(remaining)
-        if length is not None and size != length:
-            raise http.client.IncompleteRead(b"", length - size)
-        return b"".join(chunks)
-
     def _acquire(self, deadline: float) -> "http_client.Connection | str":
         """Return an idle or new connection, or the kind of failure."""
         while True:
--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -6,72 +6,18 @@
 
 import http.client
 import socket
+import time
 from typing import Any
 
 import urllib3
 import urllib3.connection
 
+from hickorythread import connection_reader
+
 MAX_COALESCED_BYTES = 16_384
 MAX_LINE_BYTES = 65_536
 MAX_HEADERS = 100
 MAX_INTERIM_RESPONSES = 10
-READ_CHUNK_BYTES = 65_536
-
-
-class ConnectionReader:
-    """Buffer the received bytes of a connection until it is closed.
-
-    It replaces the file object that http.client creates for each response.
-    Creating that object takes as long as the rest of reading a response.
-    """
-
-    __slots__ = ("sock", "data", "position")
-
-    def __init__(self, sock: Any) -> None:
-        self.sock = sock
-        self.data = b""
-        self.position = 0
-
-    def makefile(self, mode: str) -> "ConnectionReader":
-        """Return this reader: http.client calls makefile() on a socket."""
-        return self
-
-    def readline(self, limit: int) -> bytes:
-        """Return a line; it is cut at the limit or at the end of the data."""
-        end = self.data.find(b"\n", self.position) + 1
-        while not end and len(self.data) - self.position < limit:
-            if not self._fill():
-                break
-            end = self.data.find(b"\n", self.position) + 1
-        return self._take(min(end or len(self.data), self.position + limit))
-
-    def read(self, size: int) -> bytes:
-        """Return size bytes, fewer only at the end of the data."""
-        while len(self.data) - self.position < size:
-            if not self._fill():
-                break
-        return self._take(min(len(self.data), self.position + size))
-
-    def is_empty(self) -> bool:
-        """Return whether all received bytes have been read."""
-        return self.position == len(self.data)
-
-    def close(self) -> None:
-        """Do nothing: the socket belongs to the connection."""
-
-    def flush(self) -> None:
-        """Do nothing: the reader does not write."""
-
-    def _fill(self) -> bool:
-        chunk = receive(self.sock, READ_CHUNK_BYTES)
-        self.data = self.data[self.position :] + chunk
-        self.position = 0
-        return bool(chunk)
-
-    def _take(self, end: int) -> bytes:
-        result = self.data[self.position : end]
-        self.position = end
-        return result
 
 
 class Response(http.client.HTTPResponse):
@@ -178,12 +124,12 @@
     """
 
     auto_open = 0
-    reader: ConnectionReader
+    reader: connection_reader.ConnectionReader
 
     def connect(self) -> None:
         """Open the connection; raises OSError or HTTPError."""
         super().connect()
-        self.reader = ConnectionReader(self.sock)
+        self.reader = connection_reader.ConnectionReader(self.sock)
 
 
 def read_response_head(
@@ -198,47 +144,48 @@
     return response
 
 
-def receive(sock: Any, size: int) -> bytes:
-    """Return received bytes; raises ConnectionResetError on a reset.
+def read_body(response: Response, max_bytes: int) -> bytes:
+    """Return the whole body of a response.
 
-    The sockets of eventlet report a reset as the end of the data. A truncated
-    body that is delimited by the end of its connection would look complete.
+    Raises HTTPException if it is larger than max_bytes or ends early, and
+    TimeoutError after the deadline of its reader.
     """
-    raw_socket = getattr(sock, "fd", None)
-    if raw_socket is None:
-        return bytes(sock.recv(size))
-    while True:
-        try:
-            return bytes(raw_socket.recv(size))
-        except BlockingIOError:
-            _wait_readable(sock, raw_socket)
-
-
-def _wait_readable(sock: Any, raw_socket: Any) -> None:
-    """Suspend the task until a green socket is readable or times out."""
-    from eventlet import hubs
-
-    try:
-        hubs.trampoline(
-            raw_socket,
-            read=True,
-            timeout=sock.gettimeout(),
-            timeout_exc=TimeoutError("timed out"),
-        )
-    except hubs.IOClosed as error:
-        raise EOFError("socket closed by another task") from error
-
-
-def send(sock: Any, head: bytes, body: bytes) -> None:
-    """Send the head and a small body with a single call.
-
-    They then usually leave in one segment.
+    length = response.body_length
+    if length is not None and length > max_bytes:
+        raise http.client.HTTPException("response exceeds the size limit")
+    chunks: list[bytes] = []
+    size = 0
+    while chunk := response.read(connection_reader.READ_CHUNK_BYTES):
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > max_bytes:
+            raise http.client.HTTPException("response exceeds the size limit")
+    if length is not None and size != length:
+        raise http.client.IncompleteRead(b"", length - size)
+    return b"".join(chunks)
+
+
+def send(sock: Any, head: bytes, body: bytes, seconds: float) -> None:
+    """Send the head and the body; raise TimeoutError if it takes longer.
+
+    A small body usually leaves in one segment with the head.
     """
+    deadline = time.monotonic() + seconds
     if len(body) <= MAX_COALESCED_BYTES:
-        sock.sendall(head + body)
+        _send_all(sock, head + body, deadline)
     else:
-        sock.sendall(head)
-        sock.sendall(body)
+        _send_all(sock, head, deadline)
+        _send_all(sock, body, deadline)
+
+
+def _send_all(sock: Any, data: bytes, deadline: float) -> None:
+    unsent = memoryview(data)
+    while unsent:
+        remaining = deadline - time.monotonic()
+        if remaining <= 0:
+            raise TimeoutError("timed out")
+        sock.settimeout(remaining)
+        unsent = unsent[sock.send(unsent) :]
 
 
 def is_usable(sock: Any) -> bool:
--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -103,20 +103,21 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return events.Failure("connect", _describe(error))
         try:
-            sock = connection.sock
-            sock.settimeout(PROBE_TIMEOUT_SECONDS)
-            sock.sendall(
+            connection.reader.limit(PROBE_TIMEOUT_SECONDS)
+            head = (
                 f"GET {path} HTTP/1.1\r\nHost: {self.host}\r\n"
-                "Connection: close\r\n\r\n".encode("latin-1")
+                "Connection: close\r\n\r\n"
+            )
+            http_client.send(
+                connection.sock,
+                head.encode("latin-1"),
+                b"",
+                PROBE_TIMEOUT_SECONDS,
             )
             response = http_client.read_response_head(
                 connection, "GET", _Response
             )
-            body = self._read_body(
-                connection,
-                response,
-                self.clock.monotonic() + PROBE_TIMEOUT_SECONDS,
-            )
+            body = http_client.read_body(response, MAX_RESPONSE_BYTES)
             return self.dialect.read_response(
                 response.status, response.fields, body
             )
@@ -187,52 +188,24 @@
             lines.append(f"Content-Length: {len(call.body)}")
         lines.append("\r\n")
         head = "\r\n".join(lines).encode("latin-1")
-        connection.sock.settimeout(remaining + RESPONSE_MARGIN_SECONDS)
-        http_client.send(connection.sock, head, call.body)
+        connection.reader.limit(remaining + RESPONSE_MARGIN_SECONDS)
+        http_client.send(connection.sock, head, call.body, remaining)
 
     def _receive(
         self, connection: http_client.Connection, action: events.Run
     ) -> tuple[http_client.Response, bytes]:
         """Read the response to a call; skip responses to earlier calls."""
-        read_deadline = action.deadline + RESPONSE_MARGIN_SECONDS
         for _ in range(MAX_RESPONSES_PER_REQUEST):
             response = http_client.read_response_head(
                 connection, action.call.method, _Response
             )
-            body = self._read_body(connection, response, read_deadline)
+            body = http_client.read_body(response, MAX_RESPONSE_BYTES)
             if self.dialect.matches_call(action.call, response.fields):
                 return response, body
             if response.will_close:
                 break
         raise http.client.HTTPException("response belongs to another request")
 
-    def _read_body(
-        self,
-        connection: http_client.Connection,
-        response: http_client.Response,
-        read_deadline: float,
-    ) -> bytes:
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            remaining = read_deadline - self.clock.monotonic()
-            if remaining <= 0:
-                raise TimeoutError
-            connection.sock.settimeout(remaining)
-            chunk = response.read(http_client.READ_CHUNK_BYTES)
-            if not chunk:
-                break
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise http.client.HTTPException(
-                    "response exceeds the size limit"
-                )
-        expected_size = response.body_length
-        if expected_size is not None and size != expected_size:
-            raise http.client.IncompleteRead(b"", expected_size - size)
-        return b"".join(chunks)
-
     def _acquire(self) -> http_client.Connection:
         while self.idle:
             idle = self.idle.pop()
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -1,12 +1,13 @@
 """Tests of the client of the local target against scripted servers."""
 
+import queue
 import select
 import socket
 import struct
 
 import pytest
 
-from hickorythread import http_client
+from hickorythread import connection_reader
 from hickorythread import utils
 from hickorythread.mesh import events
 from hickorythread.mesh import target_client
@@ -130,6 +131,118 @@
 
     eventlet.spawn(serve)
     sock = eventlet.connect(listener.getsockname())
-    assert http_client.receive(sock, 100) == b"part"
+    assert connection_reader.receive(sock, 100) == b"part"
     with pytest.raises(ConnectionResetError):
-        http_client.receive(sock, 100)
+        connection_reader.receive(sock, 100)
+
+
+STATUS = b"HTTP/1.1 200 OK\r\n" + ID
+MAX_DRIPS = 200
+
+
+def drip(head, piece, drips):
+    """Return a script that sends a piece every 20 ms until the client leaves.
+
+    The number of pieces that were sent is put into the queue drips.
+    """
+
+    def script(server, connection):
+        server.read_request(connection)
+        sent = 0
+        try:
+            connection.sendall(head)
+            while sent < MAX_DRIPS and not left(connection):
+                connection.sendall(piece)
+                sent += 1
+        except OSError:
+            pass
+        drips.put(sent)
+
+    return script
+
+
+def left(connection):
+    """Wait 20 ms; return whether the client has closed its connection."""
+    return bool(select.select([connection], [], [], 0.02)[0])
+
+
+ENDLESS = {
+    "head": (b"", b"a"),
+    "header": (STATUS + b"X-A: ", b"a"),
+    "headers": (STATUS, b"X-A: a\r\n"),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "body that ends with the connection": (STATUS + b"\r\n", b"a"),
+    "body with a length": (
+        STATUS + b"Content-Length: 100000\r\n\r\n",
+        b"a",
+    ),
+    "chunks": (
+        STATUS + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\na\r\n",
+    ),
+    "chunk size": (
+        STATUS + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"0",
+    ),
+    "trailers": (
+        STATUS + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-A: a\r\n",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+@pytest.mark.parametrize("probe", [False, True])
+def test_response_that_never_ends_is_ended_by_the_deadline(name, probe):
+    """Guards against a target that holds a slot by sending byte after byte."""
+    drips = queue.Queue()
+    with servers.ScriptedServer(drip(*ENDLESS[name], drips)) as server:
+        client = make_client(server)
+        if probe:
+            result = client.probe("/healthz")
+        else:
+            result = client.run(make_run(seconds=0.3))
+        assert isinstance(result, events.Failure)
+        assert result.kind in ("lost", "timeout")
+        assert drips.get(timeout=10) < MAX_DRIPS
+        assert not client.idle
+
+
+FLOOD = {
+    "line": (b"", b"a" * 65_536),
+    "headers": (STATUS, b"X-A: a\r\n" * 5_000),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 5_000),
+    "body": (STATUS + b"\r\n", b"a" * 65_536),
+    "chunks": (
+        STATUS + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n" + b"a" * 4096 + b"\r\n",
+    ),
+}
+
+
+def flood(head, piece, sent):
+    """Return a script that sends a piece again and again, up to 64 MB."""
+
+    def script(server, connection):
+        server.read_request(connection)
+        size = 0
+        try:
+            connection.sendall(head)
+            while size < 64_000_000:
+                connection.sendall(piece)
+                size += len(piece)
+        except OSError:
+            pass
+        sent.put(size)
+
+    return script
+
+
+@pytest.mark.parametrize("name", FLOOD)
+def test_response_without_end_is_refused_by_its_size(name):
+    """Guards against memory that a faulty target lets grow."""
+    sent = queue.Queue()
+    with servers.ScriptedServer(flood(*FLOOD[name], sent)) as server:
+        result = make_client(server).run(make_run(seconds=20.0))
+        assert result.kind == "lost"
+        assert sent.get(timeout=10) < 64_000_000
