Run the requests that a client sends ahead side by side

Cause: the server read the next request of a connection only after the response to the one before.

Change: the task of a connection only reads. The sidecar's application defers its responses; pipelining.ResponseQueue releases them in the order of the requests and bounds what is read ahead, per connection and per process. A request that must not repeat starts after the earlier ones are answered. Only the last open response announces that the connection closes, so nothing that was passed on stands behind it. A client that leaves ends all its requests at once. A head or a body that drips gets 408, which says that it has not run. A stopping node waits until every response has been handed to its socket.

Also: digits other than ASCII in Content-Length and in number headers get 400 (they raised), 100 headers are the limit (101 passed) and 431 has its own reason.

--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 import email.utils
 import functools
+import math
 import re
 import socket
 import time
@@ -19,17 +20,28 @@
 from urllib import parse
 
 import eventlet
+from eventlet import hubs
 from eventlet import wsgi
 
+from hickorythread import connection_reader
+from hickorythread import http_client
 from hickorythread import logs
+from hickorythread import pipelining
 
 MAX_HEADERS = 100
 MAX_HEAD_BYTES = 16 * 1024
 MAX_CHUNK_LINE_BYTES = 1024
 MAX_DISCARDED_BYTES = 2 * 1024 * 1024
-DISCARD_TIMEOUT_SECONDS = 1.0
+# How long a connection is kept after its last response, so that the caller can
+# read it.
+LINGER_SECONDS = 1.0
+IDLE_SECONDS = 75.0
+REQUEST_SECONDS = 30.0
 MAX_CACHED_HEADER_NAMES = 1024
+MAX_COUNT_DIGITS = 15
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Returned by an application that responds through its exchange later.
+DEFERRED: list[bytes] = []
 
 _TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _REQUEST_LINE = re.compile(
@@ -40,6 +52,10 @@
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00\r\n]*)?\r?\n\Z")
 _HEADER_NAMES: dict[bytes, tuple[str, str]] = {}
 _LINE_ENDINGS = (b"\r\n", b"\n")
+_HEAD_ERROR_REASONS = {
+    408: "Request Timeout",
+    431: "Request Header Fields Too Large",
+}
 _SINGLETON_HEADERS = (
     "HTTP_IDEMPOTENCY_KEY",
     "HTTP_X_DEADLINE_MS",
@@ -97,7 +113,7 @@
         """
         if self.expects_continue:
             self.expects_continue = False
-            self.protocol.connection.sendall(CONTINUE)
+            self.protocol.send_continue()
         if self.chunked:
             return self._read_chunks(limit)
         data: bytes = self.protocol.rfile.read(min(limit, self.remaining))
@@ -143,68 +159,314 @@
         return line
 
 
+class ConnectionOptions:
+    """Hold what the connections of one server share.
+
+    request_seconds limits the time from the first byte of a request to the
+    last one, idle_seconds that without any byte.
+    """
+
+    __slots__ = ("backlog", "idle_seconds", "request_seconds")
+
+    def __init__(
+        self,
+        backlog: pipelining.Backlog | None = None,
+        idle_seconds: float = IDLE_SECONDS,
+        request_seconds: float = REQUEST_SECONDS,
+    ) -> None:
+        self.backlog = backlog or pipelining.Backlog()
+        self.idle_seconds = idle_seconds
+        self.request_seconds = request_seconds
+
+
+class Exchange:
+    """Hold one request of a connection until its response is sent.
+
+    An application either returns the body, or returns DEFERRED and calls
+    respond() later. on_abandoned is called if the caller disconnects first.
+    """
+
+    __slots__ = (
+        "protocol",
+        "head_only",
+        "keeps_http10",
+        "body",
+        "status",
+        "headers",
+        "content",
+        "done",
+        "on_abandoned",
+    )
+
+    def __init__(self, protocol: "HttpProtocol", body: Body) -> None:
+        self.protocol = protocol
+        self.head_only = protocol.command == "HEAD"
+        self.keeps_http10 = protocol.request_version == "HTTP/1.0"
+        self.body = body
+        self.status = ""
+        self.headers: list[tuple[str, str]] = []
+        self.content = b""
+        self.done = False
+        self.on_abandoned: Callable[[], None] | None = None
+
+    @property
+    def size(self) -> int:
+        """Return the length of the response body."""
+        return len(self.content)
+
+    @property
+    def is_first(self) -> bool:
+        """Return whether all earlier requests have been answered."""
+        return self.protocol.responses.is_first(self)
+
+    def wait_until_first(self) -> bool:
+        """Wait for the earlier responses; return False if the caller left."""
+        return self.protocol.wait_until(lambda: self.is_first)
+
+    def connected(self) -> bool:
+        """Return whether the caller is still connected."""
+        return self.protocol.caller_connected()
+
+    def start_response(
+        self, status: str, headers: list[tuple[str, str]], *_: Any
+    ) -> Callable[[bytes], None]:
+        """Set the status and the headers, as WSGI defines it."""
+        self.status = status
+        self.headers = headers
+        return _reject_write
+
+    def respond(self, content: bytes) -> None:
+        """Send the response as soon as the earlier ones have been sent."""
+        self.content = content
+        self.protocol.respond(self)
+
+    def render(self, closes: bool) -> bytes:
+        """Return the bytes of the response."""
+        lines = [f"HTTP/1.1 {self.status}"]
+        has_date = False
+        for name, value in self.headers:
+            if name != "Connection" and not _INVALID_RESPONSE_VALUE.search(
+                value
+            ):
+                lines.append(f"{name}: {value}")
+                has_date = has_date or name.lower() == "date"
+        if closes:
+            lines.append("Connection: close")
+        elif self.keeps_http10:
+            lines.append("Connection: keep-alive")
+        if not has_date:
+            lines.append(f"Date: {_format_date(int(time.time()))}")
+        lines.append("\r\n")
+        head = "\r\n".join(lines).encode("latin1")
+        return head if self.head_only else head + self.content
+
+    def wants_close(self) -> bool:
+        """Return whether the connection cannot be used after the response."""
+        return not self.body.complete or any(
+            name == "Connection" for name, _ in self.headers
+        )
+
+
 class HttpProtocol(wsgi.HttpProtocol):  # type: ignore[misc]
-    """Serve the requests of one connection."""
+    """Serve the requests of one connection.
+
+    Its task reads the requests. Those of an application that defers its
+    responses run side by side; the responses leave in the order of the
+    requests. Only the last one of a connection announces that it closes, so
+    that no request behind it has been handed to the application.
+    """
 
-    # The attributes below belong to the current request. A connection serves
-    # many requests; the socket timeout of the server ends the wait for a head
-    # that a slow sender does not complete.
+    # These attributes belong to the request that was read last.
     raw_headers: list[tuple[str, str]]
     fields: dict[str, str]
-    status: str
-    response_headers: list[tuple[str, str]]
+
+    def __init__(
+        self, options: ConnectionOptions, conn_state: list[Any], server: Any
+    ) -> None:
+        self.options = options
+        self.responses: pipelining.ResponseQueue[Exchange] = (
+            pipelining.ResponseQueue(options.backlog)
+        )
+        # Set once no further request is read.
+        self.closing = False
+        # Set while the task of the connection reads the head of a request, and
+        # whether bytes of that request have arrived.
+        self.receiving = False
+        self.head_begun = False
+        self.abandoned = False
+        self.waiting_task: Any = None
+        self.unsent: list[bytes] = []
+        super().__init__(conn_state, server)
+
+    def setup(self) -> None:
+        """Prepare the connection for reading."""
+        self.connection = self.request
+        self.rfile = connection_reader.ConnectionReader(self.connection)
+        self.rfile.idle_timeout = self.options.idle_seconds
+
+    def finish(self) -> None:
+        """Close the connection."""
+        http_client.shut_down(self.connection)
+        self.connection.close()
 
     def handle(self) -> None:
         """Serve requests until either side closes the connection."""
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.close_connection = False
         try:
-            while not self.close_connection:
-                self.handle_one_request()
-                if self.conn_state[2] == wsgi.STATE_CLOSE:
-                    self.close_connection = True
-                else:
-                    self.conn_state[2] = wsgi.STATE_IDLE
-        except OSError:
+            while self._may_continue() and self._serve_request():
+                pass
+            self.closing = True
+            if self.wait_until(self._all_sent):
+                self._linger()
+        except (OSError, EOFError):
             # The caller has disconnected or timed out; no response is needed.
-            self.close_connection = True
+            pass
+        finally:
+            self._abandon()
 
-    def handle_one_request(self) -> None:
-        """Read one request and send its response."""
-        self.raw_requestline = self.rfile.readline(MAX_HEAD_BYTES + 1)
-        if not self.raw_requestline:
-            self.close_connection = True
+    def respond(self, exchange: Exchange) -> None:
+        """Send the responses that a finished exchange completes."""
+        if self.abandoned:
             return
-        # On shutdown the server closes only idle connections.
-        self.conn_state[2] = wsgi.STATE_REQUEST
-        if not self.parse_request():
-            return
-        environ = self.get_environ()
-        self.status = ""
-        body_parts = self._run_application(environ)
-        if not self.status:
-            # The application found that the caller has disconnected.
-            self.close_connection = True
+        if self.conn_state[2] == wsgi.STATE_CLOSE or exchange.wants_close():
+            self.closing = True
+        ready = self.responses.complete(exchange)
+        closes = self.closing and not self.responses.open
+        data = b"".join(
+            item.render(closes and item is ready[-1]) for item in ready
+        )
+        if data:
+            self._send(data)
+        self._progressed()
+
+    def send_continue(self) -> None:
+        """Ask the caller for a body, after the responses that precede it."""
+        if self.wait_until(lambda: len(self.responses.open) == 1):
+            self._send(CONTINUE)
+
+    def drop(self) -> None:
+        """Abandon all requests of a caller that has disconnected."""
+        self._abandon()
+        http_client.shut_down(self.connection)
+        self._progressed()
+
+    def caller_connected(self) -> bool:
+        """Return whether the caller is still connected.
+
+        The task of the connection notices a disconnect itself while it waits
+        for the next request.
+        """
+        if self.receiving:
+            return True
+        return is_connected(self.connection)
+
+    def wait_until(self, condition: Callable[[], bool]) -> bool:
+        """Suspend the task of the connection until a condition holds.
+
+        Returns False if the caller disconnects first.
+        """
+        while not condition():
+            if self.abandoned:
+                return False
+            self.waiting_task = eventlet.getcurrent()
+            hubs.get_hub().switch()
+        return True
+
+    def _progressed(self) -> None:
+        """Let the task of the connection go on after a change of its state."""
+        if self._all_sent() and not self.head_begun:
+            # On shutdown the server closes only idle connections.
+            if self.conn_state[2] == wsgi.STATE_REQUEST:
+                self.conn_state[2] = wsgi.STATE_IDLE
+        task, self.waiting_task = self.waiting_task, None
+        if task is not None:
+            hubs.get_hub().schedule_call_global(0, task.switch)
+        elif self.receiving and self.closing and self._all_sent():
+            self._stop_receiving()
+
+    def _stop_receiving(self) -> None:
+        """Close the sending side; end the wait for a request soon after."""
+        try:
+            self.connection.shutdown(socket.SHUT_WR)
+        except OSError:
             return
-        complete = environ["wsgi.input"].complete
-        self._send_response(b"".join(body_parts), complete)
-        if not complete:
-            self._discard_request_body()
-
-    def parse_request(self) -> bool:
-        """Read the head; sends the error response itself if it is invalid."""
-        self.close_connection = True
+        hubs.get_hub().schedule_call_global(
+            LINGER_SECONDS, http_client.shut_down, self.connection
+        )
+
+    def _all_sent(self) -> bool:
+        return not self.responses.open and not self.unsent
+
+    def _may_continue(self) -> bool:
+        """Wait until the next request may be read; False if none may."""
+        if not (self.closing or self.responses.may_read()):
+            self.wait_until(lambda: self.closing or self.responses.may_read())
+        return not self.closing
+
+    def _serve_request(self) -> bool:
+        """Read and start one request; return whether to read another."""
+        self.receiving = True
+        try:
+            if not self._wait_for_request():
+                return False
+            error = self._read_head()
+        finally:
+            self.receiving = self.head_begun = False
+        if self.closing:
+            # Counts as not read: the response before it closes.
+            return False
+        if error is not None:
+            self._reject(error)
+            return False
+        exchange = Exchange(self, self._make_body())
+        self.responses.add(exchange)
+        self.closing = self.close_connection
+        self._run_application(exchange)
+        return not self.closing
+
+    def _wait_for_request(self) -> bool:
+        """Wait for the first bytes of a request; False if none come."""
+        reader = self.rfile
+        if not reader.is_empty():
+            return True
+        reader.deadline = math.inf
         try:
+            received = reader.fill()
+        except TimeoutError:
+            # The requests that are still open get their responses.
+            return False
+        if not received:
+            self._abandon()
+        return received
+
+    def _read_head(self) -> HeadError | None:
+        """Read the head of a request; return what is wrong with it."""
+        self.head_begun = True
+        if self.conn_state[2] == wsgi.STATE_IDLE:
+            self.conn_state[2] = wsgi.STATE_REQUEST
+        self.rfile.limit(self.options.request_seconds)
+        try:
+            self.raw_requestline = self.rfile.readline(MAX_HEAD_BYTES + 1)
             self._parse_request_line()
             self._parse_headers()
             self._check_framing()
         except HeadError as error:
-            self._reject(error)
-            return False
-        return True
+            return error
+        except TimeoutError:
+            return HeadError(408, "request head took too long")
+        return None
 
-    def get_environ(self) -> dict[str, Any]:
-        """Build the WSGI environment of the request."""
+    def _make_body(self) -> "Body":
+        return Body(
+            self,
+            int(self.fields.get("CONTENT_LENGTH") or 0),
+            "HTTP_TRANSFER_ENCODING" in self.fields,
+            self.fields.get("HTTP_EXPECT", "").lower() == "100-continue",
+        )
+
+    def _make_environ(self, exchange: Exchange) -> dict[str, Any]:
+        """Build the WSGI environment of the request that was read last."""
         environ: dict[str, Any] = self.server.get_environ()
         path, _, query = self.path.partition("?")
         environ.update(self.fields)
@@ -218,22 +480,17 @@
         environ["QUERY_STRING"] = query
         environ["SERVER_PROTOCOL"] = self.request_version
         environ["headers_raw"] = self.raw_headers
-        environ["wsgi.input"] = Body(
-            self,
-            int(self.fields.get("CONTENT_LENGTH") or 0),
-            "HTTP_TRANSFER_ENCODING" in self.fields,
-            self.fields.get("HTTP_EXPECT", "").lower() == "100-continue",
-        )
+        environ["wsgi.input"] = exchange.body
         environ["hickorythread.socket"] = self.connection
+        environ["hickorythread.exchange"] = exchange
         return environ
 
-    def _run_application(self, environ: dict[str, Any]) -> Iterable[bytes]:
+    def _run_application(self, exchange: Exchange) -> None:
         try:
-            body_parts: Iterable[bytes] = self.server.app(
-                environ, self._start_response
+            parts: Iterable[bytes] = self.server.app(
+                self._make_environ(exchange), exchange.start_response
             )
-            return body_parts
-        except OSError:
+        except (OSError, EOFError):
             raise
         except Exception as error:
             logs.error(
@@ -242,57 +499,63 @@
                 trace=traceback.format_exc(limit=-3),
             )
             headers = [("X-Outcome", "unknown"), ("Content-Length", "0")]
-            self._start_response("500 Internal Server Error", headers)
-            return []
-
-    def _start_response(
-        self, status: str, headers: list[tuple[str, str]], *_: Any
-    ) -> Callable[[bytes], None]:
-        self.status = status
-        self.response_headers = headers
-        return self._reject_write
-
-    def _reject_write(self, data: bytes) -> None:
-        raise NotImplementedError(
-            "write() is not supported, return the whole body"
-        )
-
-    def _send_response(self, body: bytes, complete: bool) -> None:
-        """Send the head and the body with one call.
+            exchange.start_response("500 Internal Server Error", headers)
+            parts = []
+        if parts is DEFERRED:
+            return
+        if not exchange.status:
+            raise EOFError("the caller has disconnected")
+        exchange.respond(b"".join(parts))
+
+    def _abandon(self) -> None:
+        """Tell the applications that the caller has disconnected."""
+        self.closing = self.abandoned = True
+        for exchange in self.responses.clear():
+            if exchange.on_abandoned is not None:
+                exchange.on_abandoned()
+
+    def _send(self, data: bytes) -> None:
+        """Send without waiting; another task sends what remains."""
+        if self.unsent:
+            self.unsent.append(data)
+            return
+        try:
+            sent = self.connection.fd.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.drop()
+            return
+        if sent < len(data):
+            self.unsent.append(data[sent:])
+            self.options.backlog.writers += 1
+            eventlet.spawn_n(self._send_rest)
 
-        complete tells whether the request body has been read to its end; if
-        not, the connection is closed.
-        """
-        lines = [f"HTTP/1.1 {self.status}"]
-        has_date = False
-        for name, value in self.response_headers:
-            if name == "Connection":
-                self.close_connection = True
-            elif not _INVALID_RESPONSE_VALUE.search(value):
-                lines.append(f"{name}: {value}")
-                has_date = has_date or name.lower() == "date"
-        if self.close_connection or not complete:
-            self.close_connection = True
-            lines.append("Connection: close")
-        elif self.request_version == "HTTP/1.0":
-            lines.append("Connection: keep-alive")
-        if not has_date:
-            lines.append(f"Date: {_format_date(int(time.time()))}")
-        lines.append("\r\n")
-        head = "\r\n".join(lines).encode("latin1")
-        if self.command != "HEAD":
-            head += body
-        self.connection.sendall(head)
+    def _send_rest(self) -> None:
+        try:
+            while self.unsent:
+                self.connection.sendall(self.unsent[0])
+                del self.unsent[0]
+        except OSError:
+            self._abandon()
+            http_client.shut_down(self.connection)
+        finally:
+            self.unsent.clear()
+            self.options.backlog.writers -= 1
+            self._progressed()
 
-    def _discard_request_body(self) -> None:
-        """Discard the rest of a request body for a limited time.
+    def _linger(self) -> None:
+        """Discard what the caller still sends for a limited time.
 
         Closing a socket with unread data resets the connection, which may
         destroy the response before the caller has read it.
         """
-        self.connection.shutdown(socket.SHUT_WR)
+        try:
+            self.connection.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
         bytes_left = MAX_DISCARDED_BYTES
-        with eventlet.Timeout(DISCARD_TIMEOUT_SECONDS, False):
+        with eventlet.Timeout(LINGER_SECONDS, False):
             while bytes_left > 0 and (data := self.connection.recv(65536)):
                 bytes_left -= len(data)
 
@@ -317,10 +580,12 @@
         while True:
             line = self.rfile.readline(remaining_bytes + 1)
             remaining_bytes -= len(line)
-            if remaining_bytes < 0 or len(self.raw_headers) > MAX_HEADERS:
+            if remaining_bytes < 0:
                 raise HeadError(431, "request head exceeds 16 KiB")
             if line in _LINE_ENDINGS:
                 return
+            if len(self.raw_headers) == MAX_HEADERS:
+                raise HeadError(431, f"more than {MAX_HEADERS} headers")
             if not line.endswith(b"\n"):
                 raise HeadError(400, "request head is cut short")
             self._add_header(line)
@@ -352,7 +617,7 @@
             raise HeadError(400, "unsupported Transfer-Encoding")
         if encoding is not None and length is not None:
             raise HeadError(400, "both Content-Length and Transfer-Encoding")
-        if length is not None and not length.isdigit():
+        if length is not None and not _is_count(length):
             raise HeadError(400, "Content-Length is not a count")
         tokens = self.fields.get("HTTP_CONNECTION", "").lower()
         if self.request_version == "HTTP/1.0":
@@ -361,17 +626,41 @@
             self.close_connection = "close" in tokens
 
     def _reject(self, error: HeadError) -> None:
+        """Respond to a request that cannot be read; it is the last one."""
+        self.closing = True
+        self.command = "GET"
+        self.request_version = "HTTP/1.1"
+        exchange = Exchange(self, Body(self, 0, False, False))
         body = f'{{"reason": "head", "message": "{error.message}"}}'.encode()
-        head = (
-            f"HTTP/1.1 {error.status} Bad Request\r\n"
-            "Content-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n"
-            "X-Outcome: not-run\r\n"
-            "Connection: close\r\n\r\n"
-        )
-        self.close_connection = True
-        self.connection.sendall(head.encode() + body)
-        self._discard_request_body()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("X-Outcome", "not-run"),
+        ]
+        reason = _HEAD_ERROR_REASONS.get(error.status, "Bad Request")
+        exchange.start_response(f"{error.status} {reason}", headers)
+        self.responses.add(exchange)
+        exchange.respond(body)
+
+
+def is_connected(sock: Any) -> bool:
+    """Return whether the peer of a green socket is still connected."""
+    try:
+        data = sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return bool(data)
+
+
+def _is_count(text: str) -> bool:
+    """Return whether a text is a number of at most 15 ASCII digits."""
+    return text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+
+
+def _reject_write(data: bytes) -> None:
+    raise NotImplementedError("write() is not supported, return the body")
 
 
 def _cache_header_name(raw_name: bytes) -> tuple[str, str]:
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -134,6 +134,13 @@
         self.budget.note_request(service)
         return self._dispatch(pending, now)
 
+    def may_repeat(self, request: events.Request) -> bool:
+        """Return whether a request may run more than once."""
+        if self.router is None:
+            return True
+        route = self.router.find(request.host, request.path)
+        return route is None or route.idempotent
+
     def reply(
         self, host_id: str, message: base_messages.Reply, now: float
     ) -> Actions:
--- a/src/hickorythread/mesh/ingress.py
+++ b/src/hickorythread/mesh/ingress.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import json
 from typing import Any
 
+from hickorythread import http_protocol
 from hickorythread import server
 from hickorythread.mesh import events
 
@@ -13,6 +13,7 @@
 _STATUS_TEXTS = {
     400: "Bad Request",
     404: "Not Found",
+    408: "Request Timeout",
     413: "Content Too Large",
     429: "Too Many Requests",
     500: "Internal Server Error",
@@ -22,8 +23,48 @@
 }
 
 
+class ClientExchange:
+    """Deliver the response to one request to the client's connection."""
+
+    __slots__ = ("app", "exchange", "received_at", "number")
+
+    def __init__(
+        self,
+        app: "RequestApp",
+        exchange: http_protocol.Exchange,
+        received_at: float,
+        number: int,
+    ) -> None:
+        self.app = app
+        self.exchange = exchange
+        self.received_at = received_at
+        self.number = number
+        exchange.on_abandoned = self._abandoned
+
+    def connected(self) -> bool:
+        """Return whether the client is still connected."""
+        return self.exchange.connected()
+
+    def deliver(self, response: events.Response) -> None:
+        """Send the response to the client."""
+        self.app.respond(self.exchange, response, close=self.app.node.stopping)
+
+    def disconnect(self) -> None:
+        """Give up all requests of a connection whose client is gone."""
+        self.exchange.protocol.drop()
+
+    def _abandoned(self) -> None:
+        self.app.node.client_disconnected(self.number)
+
+
 class RequestApp:
-    """Pass the requests of clients to the node."""
+    """Pass the requests of clients to the node.
+
+    Requests that a client sends before it has the response to an earlier one
+    run side by side, except that one which must not repeat starts only after
+    the earlier ones are answered: the client sends again what it finds behind
+    a response that closes the connection.
+    """
 
     def __init__(self, node: Any) -> None:
         self.node = node
@@ -31,24 +72,33 @@
     def __call__(
         self, environ: server.Environ, start_response: server.StartResponse
     ) -> Iterable[bytes]:
+        exchange: http_protocol.Exchange = environ["hickorythread.exchange"]
         try:
             body = server.read_body(environ, self._body_limit())
         except server.BadRequest as error:
             response = events.Response(error.status, [], b"", error.reason)
-            return self._respond(response, start_response, close=True)
+            self.respond(exchange, response, close=True)
+            return http_protocol.DEFERRED
         request = self.node.dialect.read_request(
             self.node.next_number(),
             environ,
             body,
             self.node.clock.monotonic(),
         )
-        is_connected = server.make_connection_check(environ)
-        response = self.node.submit(request, is_connected)
-        if response is None:
-            return []
-        return self._respond(
-            response, start_response, close=self.node.stopping
-        )
+        if exchange.is_first or self._may_start(exchange, request):
+            client = ClientExchange(
+                self, exchange, request.received_at, request.number
+            )
+            self.node.submit(request, client)
+        return http_protocol.DEFERRED
+
+    def _may_start(
+        self, exchange: http_protocol.Exchange, request: events.Request
+    ) -> bool:
+        """Return whether to start a request, after a wait if it needs one."""
+        if self.node.may_repeat(request):
+            return True
+        return exchange.wait_until_first()
 
     def _body_limit(self) -> int:
         configuration = self.node.view.configuration
@@ -57,28 +107,26 @@
         limit: int = configuration.limits.body_bytes
         return min(MAX_BODY_BYTES, limit)
 
-    def _respond(
+    def respond(
         self,
+        exchange: http_protocol.Exchange,
         response: events.Response,
-        start_response: server.StartResponse,
         close: bool,
-    ) -> Iterable[bytes]:
+    ) -> None:
+        """Send a response through an exchange."""
         headers = [
             (name, value)
             for name, value in self.node.dialect.response_headers(response)
         ]
         body = response.body
-        if not response.from_target:
-            body = json.dumps({"reason": response.reason}).encode()
-            headers.append(("Content-Type", "application/json"))
         if close:
             headers.append(("Connection", "close"))
         headers.append(("Content-Length", str(len(body))))
         text = _STATUS_TEXTS.get(response.status, "Status")
         if response.status < 300:
             text = "OK"
-        start_response(f"{response.status} {text}", headers)
-        return [body]
+        exchange.start_response(f"{response.status} {text}", headers)
+        exchange.respond(body)
 
 
 class ReadinessApp:
--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -103,6 +103,24 @@
         """Change the address of the source for subsequent reads."""
 
 
+class Client(Protocol):
+    """Stand for the client that waits for the response to one request.
+
+    received_at is the monotonic time at which the request was read.
+    """
+
+    received_at: float
+
+    def connected(self) -> bool:
+        """Return whether the client is still connected."""
+
+    def deliver(self, response: events.Response) -> None:
+        """Send the response to the client."""
+
+    def disconnect(self) -> None:
+        """Give up the connection of a client that is gone."""
+
+
 class Dialect(Protocol):
     """Translate requests and responses between HTTP and the data path."""
 
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -11,16 +11,17 @@
 from hickorythread import codec
 from hickorythread import events as base_events
 from hickorythread import exceptions
+from hickorythread import http_protocol
 from hickorythread import interfaces as base_interfaces
 from hickorythread import keepalive
 from hickorythread import logs
 from hickorythread import messages as base_messages
 from hickorythread import metrics
+from hickorythread import pipelining
 from hickorythread import process
 from hickorythread import server
 from hickorythread import streams
 from hickorythread import utils
-from hickorythread import waiters
 from hickorythread.mesh import entry
 from hickorythread.mesh import events
 from hickorythread.mesh import exchange
@@ -120,7 +121,8 @@
             self._view_changed,
             self.telemetry.record_source_call,
         )
-        self.waiters: dict[int, waiters.Waiter] = {}
+        self.clients: dict[int, interfaces.Client] = {}
+        self.backlog = pipelining.Backlog()
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
         self.last_number = 0
         self.reported_dropped = 0
@@ -173,7 +175,7 @@
         if self.stopping:
             return
         self.stopping = True
-        logs.info("node_draining", waiting=len(self.waiters))
+        logs.info("node_draining", waiting=len(self.clients))
         self.spawn(self._drain)
 
     def reload(self) -> None:
@@ -203,7 +205,7 @@
             eventlet.sleep(TICK_SECONDS)
         # Allows the last responses to leave the socket buffers.
         eventlet.sleep(TICK_SECONDS)
-        logs.info("node_stopped", unfinished=len(self.waiters))
+        logs.info("node_stopped", unfinished=len(self.clients))
         self.finish(None)
 
     def _wait_for_quiet_period(self, since: float, max_seconds: float) -> None:
@@ -220,11 +222,15 @@
             eventlet.sleep(TICK_SECONDS)
 
     def _is_busy(self) -> bool:
-        return bool(self.waiters) or not self.execution.idle
+        return not (self.backlog.empty and self.execution.idle)
 
     def _serve(self, listener: Any, app: Any) -> None:
+        backlog = None
+        if isinstance(app, ingress.RequestApp):
+            backlog = self.backlog
+        options = http_protocol.ConnectionOptions(backlog)
         try:
-            server.serve(listener, app)
+            server.serve(listener, app, options)
         except OSError:
             # The listener is closed on purpose during shutdown.
             if self.accepting:
@@ -253,13 +259,9 @@
             eventlet.sleep(CLIENT_CHECK_SECONDS)
             now = self.clock.monotonic()
             cutoff = now - CLIENT_CHECK_SECONDS
-            for number, waiter in list(self.waiters.items()):
-                if waiter.done or waiter.started_at > cutoff:
-                    continue
-                if not waiter.connected():
-                    del self.waiters[number]
-                    self.perform(self.entry.client_disconnected(number, now))
-                    waiter.deliver(None)
+            for client in list(self.clients.values()):
+                if client.received_at <= cutoff and not client.connected():
+                    client.disconnect()
 
     def _check_links(self) -> None:
         while True:
@@ -355,13 +357,14 @@
             self.streams.send(host_id, action.message)
 
     def _respond(self, action: events.Respond) -> None:
-        waiter = self.waiters.pop(action.number, None)
-        if waiter is None:
+        client = self.clients.pop(action.number, None)
+        if client is None:
             self.metrics.count("responses_without_client")
-        else:
-            now = self.clock.monotonic()
-            self.telemetry.record_response(action, now - waiter.started_at)
-            waiter.deliver(action.response)
+            return
+        elapsed = self.clock.monotonic() - client.received_at
+        self.telemetry.record_response(action, elapsed)
+        self.request_duration.record(elapsed)
+        client.deliver(action.response)
 
     def _run(self, action: events.Run) -> None:
         self.spawn(self._run_call, action)
@@ -487,18 +490,22 @@
         return self.last_number
 
     def submit(
-        self, request: events.Request, connected: Callable[[], bool]
-    ) -> events.Response | None:
-        """Run a request; return None if the client disconnected."""
+        self, request: events.Request, client: interfaces.Client
+    ) -> None:
+        """Run a request; its response is delivered to the client."""
+        self.clients[request.number] = client
         now = self.clock.monotonic()
-        waiter = waiters.Waiter(connected, now)
-        self.waiters[request.number] = waiter
         self.perform(self.entry.request(request, now))
-        response: events.Response | None = waiter.wait()
-        if response is not None:
-            elapsed = self.clock.monotonic() - request.received_at
-            self.request_duration.record(elapsed)
-        return response
+
+    def client_disconnected(self, number: int) -> None:
+        """Cancel the request of a client that has disconnected."""
+        if self.clients.pop(number, None) is not None:
+            now = self.clock.monotonic()
+            self.perform(self.entry.client_disconnected(number, now))
+
+    def may_repeat(self, request: events.Request) -> bool:
+        """Return whether a request may run more than once."""
+        return self.entry.may_repeat(request)
 
     def status(self) -> dict[str, Any]:
         """Return the node's view and load for operators."""
--- a/src/hickorythread/server.py
+++ b/src/hickorythread/server.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 import json
 import math
-import socket
 from typing import Any
 from urllib import parse
 
@@ -20,7 +20,7 @@
 MAX_BODY_BYTES = 1024 * 1024
 MAX_CONNECTIONS = 4096
 MAX_DEADLINE_MS = 600_000
-IDLE_SECONDS = 75.0
+MAX_COUNT_DIGITS = 15
 CALLER_CHECK_SECONDS = 0.1
 STATUS_WAIT_SECONDS = 0.4
 HOP_BY_HOP_HEADERS = frozenset(
@@ -242,16 +242,16 @@
         if environ.get("HTTP_TRANSFER_ENCODING", "").lower() != "chunked":
             return b""
         try:
-            body = environ["wsgi.input"].read(limit + 1)
+            body = _read_in_time(environ, limit + 1)
         except http_protocol.BodyError as error:
             raise BadRequest(400, "chunked", str(error)) from error
     else:
-        length = int(text) if text.isdigit() else -1
-        if length < 0:
+        length = _parse_count(text)
+        if length is None:
             raise BadRequest(400, "length", "Content-Length is not a count")
         if length > limit:
             raise BadRequest(413, "too_large", too_large)
-        body = environ["wsgi.input"].read(length)
+        body = _read_in_time(environ, length)
         if len(body) < length:
             raise BadRequest(400, "cut", "body is shorter than announced")
     if len(body) > limit:
@@ -267,11 +267,27 @@
     text = environ.get(name)
     if text is None:
         return None
-    if not text.isdigit() or len(text) > 9 or int(text) > limit:
+    value = _parse_count(text)
+    if value is None or value > limit:
         header = name.removeprefix("HTTP_").replace("_", "-").title()
         message = f"{header} must be a whole number from 0 to {limit}"
         raise BadRequest(400, "header", message)
-    return int(text)
+    return value
+
+
+def _parse_count(text: str) -> int | None:
+    """Return the value of a text of ASCII digits, None if it is another."""
+    is_count = text.isascii() and text.isdigit()
+    return int(text) if is_count and len(text) <= MAX_COUNT_DIGITS else None
+
+
+def _read_in_time(environ: Environ, size: int) -> bytes:
+    """Return up to size bytes of the body; BadRequest if it is too slow."""
+    try:
+        return bytes(environ["wsgi.input"].read(size))
+    except TimeoutError as error:
+        message = "request body took too long"
+        raise BadRequest(408, "slow_body", message) from error
 
 
 def read_deadline(environ: Environ, now: float) -> float | None:
@@ -285,17 +301,7 @@
 def make_connection_check(environ: Environ) -> Callable[[], bool]:
     """Return a function that checks whether the caller is connected."""
     sock = environ["hickorythread.socket"]
-
-    def connected() -> bool:
-        try:
-            data = sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return bool(data)
-
-    return connected
+    return functools.partial(http_protocol.is_connected, sock)
 
 
 def refusal_response(refusal: exceptions.Refusal, key: str) -> events.Response:
@@ -343,17 +349,22 @@
     return [body]
 
 
-def serve(listener: Any, app: Any, idle_seconds: float = IDLE_SECONDS) -> None:
+def serve(
+    listener: Any,
+    app: Any,
+    options: http_protocol.ConnectionOptions | None = None,
+) -> None:
     """Run a WSGI server on a listener until its task is killed."""
     pool = eventlet.GreenPool(MAX_CONNECTIONS)
+    options = options or http_protocol.ConnectionOptions()
     wsgi.server(
         listener,
         app,
         custom_pool=pool,
         log_output=False,
         debug=False,
-        socket_timeout=idle_seconds,
-        protocol=http_protocol.HttpProtocol,
+        socket_timeout=options.idle_seconds,
+        protocol=functools.partial(http_protocol.HttpProtocol, options),
     )
 
 
@@ -368,6 +379,7 @@
         403: "Forbidden",
         404: "Not Found",
         405: "Method Not Allowed",
+        408: "Request Timeout",
         409: "Conflict",
         413: "Content Too Large",
         421: "Misdirected Request",
