Charge the calls that retries make to the retry budget

Cause: each service retried up to 0.12 of its requests, but a retry repeats its calls, and they count as retries of the called service. Besides, a restarted node began with a full reserve, and one that knew no targets with the reserve of the whole mesh.

Change: a forwarded request says whether it reached a target before; a node counts the retries among the runs at its target and charges its requests that may be calls with that probability. A request that arrives while the target runs nothing comes from a client and marks its route. A 421 of a target takes a token as every other rejection. A new process starts with one retry. Nodes of earlier releases send no such field, so messages have defaults.

--- a/src/hickorythread/codec.py
+++ b/src/hickorythread/codec.py
@@ -162,7 +162,11 @@
 
 
 def _build_message(cls: Any, fields: list[Any], version: int) -> DecodeResult:
-    # Extra fields come from a later release and are ignored.
+    # Extra fields come from a later release and are ignored. An earlier one
+    # does not send the last fields, which have defaults.
+    missing = len(cls.types) - len(fields)
+    if 0 < missing <= len(cls.defaults):
+        fields = [*fields, *cls.defaults[-missing:]]
     if len(fields) < len(cls.types):
         return _error_result(
             "truncated", f"{cls.__name__} has {len(fields)} fields"
--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -277,6 +277,9 @@
     """
 
     # These attributes belong to the request that was read last.
+    command: str
+    path: str
+    request_version: str
     raw_headers: list[tuple[str, str]]
     fields: dict[str, str]
 
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -12,6 +12,7 @@
 from hickorythread.mesh import execution
 from hickorythread.mesh import messages
 from hickorythread.mesh import models
+from hickorythread.mesh import origins
 from hickorythread.mesh import placement
 from hickorythread.mesh import routing
 from hickorythread.mesh import settings as mesh_settings
@@ -28,12 +29,12 @@
 STARTING_RETRY_AFTER_SECONDS = 0.5
 NO_TARGET_RETRY_AFTER_SECONDS = 0.4
 MAX_STALE_TIMERS = 256
-# Parts of the configured retry budget that are used. The rest is a reserve: a
-# retried request repeats its calls to other services, and those repetitions
-# count as retries of these services too.
-RETRY_SHARE = 0.6
+# Parts of the configured retry budget that are used. The rest is a reserve
+# for nodes that restart and for requests that go to fewer nodes than before.
+RETRY_SHARE = 0.9
 RETRY_SLACK_SHARE = 0.5
 MIN_RETRY_RESERVE = 1.0
+INITIAL_RETRIES = 1.0
 MIN_SERVER_ERROR_STATUS = 500
 
 Actions = list[events.Record]
@@ -43,7 +44,7 @@
     """Hold a request until its response is known.
 
     runs counts the attempts that may have run at a target, refusals those
-    that did not. failure_response is the error response of a target, which
+    that did not and rejections those of them that a target refused. failure_response is the error response of a target, which
     the client gets if no retry succeeds.
     """
 
@@ -58,6 +59,7 @@
         "sent_at",
         "runs",
         "refusals",
+        "rejections",
         "overload_refusals",
         "tried_hosts",
         "retry_after",
@@ -81,11 +83,17 @@
         self.sent_at = 0.0
         self.runs = 0
         self.refusals = 0
+        self.rejections = 0
         self.overload_refusals = 0
         self.tried_hosts: set[str] = set()
         self.retry_after = math.inf
         self.failure_response: events.Response | None = None
 
+    @property
+    def sent_to_target(self) -> bool:
+        """Return whether the request may have reached a target before."""
+        return bool(self.runs or self.rejections)
+
 
 class EntryPlane:
     """Send each request to a target and its response to the client."""
@@ -105,7 +113,10 @@
             random_source,
         )
         self.splitter = routing.TrafficSplitter(random_source)
-        self.budget = retries.RetryBudget()
+        # Nobody knows what a predecessor of this process has spent, so that
+        # it does not start with a full reserve.
+        self.budget = retries.RetryBudget(initial=INITIAL_RETRIES)
+        self.origins = origins.CallOrigins()
         self.router: routing.Router | None = None
         self.pending: dict[int, PendingRequest] = {}
         self.by_number: dict[int, PendingRequest] = {}
@@ -114,8 +125,18 @@
         # A restarted process must not reuse the call ids of its predecessor.
         self.last_call_id = random_source.getrandbits(48)
 
-    def request(self, request: events.Request, now: float) -> Actions:
-        """Send a request to a target or refuse it."""
+    def request(
+        self,
+        request: events.Request,
+        now: float,
+        running: int = 0,
+        running_retries: int = 0,
+    ) -> Actions:
+        """Send a request to a target or refuse it.
+
+        running counts the runs at the local target, running_retries those of
+        them that are retries: the request may be a call of one of them.
+        """
         if self.router is None:
             return self._refuse(
                 request, 503, "starting", STARTING_RETRY_AFTER_SECONDS
@@ -131,7 +152,10 @@
         pending = PendingRequest(request, route, service, deadline)
         if now >= deadline:
             return self._respond(pending, 504, "deadline")
-        self.budget.note_request(service)
+        probability = self.origins.retry_probability(
+            route.name, running, running_retries
+        )
+        self.budget.note_request(service, probability)
         return self._dispatch(pending, now)
 
     def may_repeat(self, request: events.Request) -> bool:
@@ -263,7 +287,9 @@
         self.budget.share = RETRY_SHARE * self.settings.retry_share
         slack = RETRY_SLACK_SHARE * self.settings.retry_slack
         hosts = {target.host_id for target in self.view.targets.values()}
-        reserve = max(MIN_RETRY_RESERVE, slack / max(1, len(hosts)))
+        # Entries of targets may lapse while the source is away.
+        hosts |= self.placement.connected
+        reserve = max(MIN_RETRY_RESERVE, slack / len(hosts))
         self.budget.set_reserve(reserve)
 
     def view_changed(self) -> None:
@@ -277,6 +303,7 @@
             self.router = routing.Router(configuration)
             names = {route.name for route in configuration.routes}
             self.splitter.keep_only(names)
+            self.origins.keep_only(names)
             self.budget.keep_only(set(configuration.services))
 
     def _dispatch(self, pending: PendingRequest, now: float) -> Actions:
@@ -327,6 +354,7 @@
             route.idempotent,
             route.priority,
             self.settings.service,
+            pending.sent_to_target,
         )
 
     def _handle_complete(
@@ -380,6 +408,8 @@
         peer = self.placement.peer(pending.host_id)
         if reason in execution.UNAVAILABLE_REASONS:
             self.placement.suspend(pending.host_id, SUSPEND_SECONDS, now)
+        if reason in execution.REJECTED_REASONS:
+            pending.rejections += 1
         if reason == execution.SHED:
             peer.record_result(True, now)
         if message.status == 429:
@@ -391,8 +421,9 @@
             or pending.refusals > MAX_REFUSALS
         ):
             return self._give_up(pending, reason, now)
-        if reason == execution.SHED and not self.budget.take(pending.service):
-            return self._give_up(pending, "retry-budget", now)
+        if reason in execution.REJECTED_REASONS:
+            if not self.budget.take(pending.service):
+                return self._give_up(pending, "retry-budget", now)
         log = self._log("not_run", pending, now, reason=reason)
         return [log, *self._dispatch(pending, now)]
 
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -39,8 +39,11 @@
     ("expected-wait", "queue-full", "waited-too-long")
 )
 # The target itself rejected the request without running it. A node that sends
-# it to another target takes a token of the retry budget for that.
+# it to another target takes a token of the retry budget for that, since the
+# request has reached a target.
 SHED = "shed"
+OTHER_INSTANCE = "other-instance"
+REJECTED_REASONS = frozenset((SHED, OTHER_INSTANCE))
 
 CallKey = tuple[str, int]
 
@@ -106,6 +109,8 @@
         self.down = True
         self.stopping = False
         self.announced_state: tuple[str, bool] | None = None
+        # How many of the runs at the target are retries.
+        self.running_retries = 0
         # Runs that lost their connection since the last result of a probe.
         self.interrupted_runs: list[Run] = []
 
@@ -179,13 +184,13 @@
         self, run_id: int, response: events.TargetResponse, now: float
     ) -> list[events.Record]:
         """Send the response of the target to the entry node."""
-        run = self.runs.pop(run_id)
+        run = self._end_run(run_id)
         latency = now - run.started_at
         if response.status == 421 and response.not_run:
             # Another instance of the target responds at the address.
             self.admission.release_slot()
-            actions = self._reply_not_run(run, 503, "other-instance")
-            return actions + self._pause("other-instance", now)
+            actions = self._reply_not_run(run, 503, OTHER_INSTANCE)
+            return actions + self._pause(OTHER_INSTANCE, now)
         if response.not_run:
             self.admission.release_slot()
             status = 503 if response.status < 500 else response.status
@@ -208,7 +213,7 @@
         self, run_id: int, failure: events.Failure, now: float
     ) -> list[events.Record]:
         """Report the outcome of a run without a response."""
-        run = self.runs.pop(run_id)
+        run = self._end_run(run_id)
         self.admission.release_slot()
         kind = failure.kind
         actions: list[events.Record] = []
@@ -354,8 +359,14 @@
         run.started_at = now
         run.instance = self.instance
         self.runs[run.run_id] = run
+        self.running_retries += run.call.repeat
         return [events.Run(run.run_id, run.call, self.instance, run.deadline)]
 
+    def _end_run(self, run_id: int) -> Run:
+        run = self.runs.pop(run_id)
+        self.running_retries -= run.call.repeat
+        return run
+
     def _start_next(self, now: float) -> list[events.Record]:
         actions: list[events.Record] = []
         while (slot_request := self.admission.next_ready(now)) is not None:
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -12,6 +12,8 @@
 class Forward(messages.Message):
     """Ask the node on a target's host to run a request at the target.
 
+    repeat is True if the request was sent to another target before.
+
     remaining is the time until the deadline and objective the time until the
     response misses the latency objective, both in seconds. Priority 0 is the
     highest.
@@ -31,8 +33,11 @@
         "idempotent",
         "priority",
         "caller_service",
+        "repeat",
     )
     code = 40
+    # Nodes of earlier releases send no repeat field.
+    defaults = (False,)
     types = (
         int,
         str,
@@ -47,6 +52,7 @@
         bool,
         int,
         str,
+        bool,
     )
 
     def __init__(
@@ -64,6 +70,7 @@
         idempotent: bool,
         priority: int,
         caller_service: str,
+        repeat: bool = False,
     ) -> None:
         self.call_id = call_id
         self.request_id = request_id
@@ -78,6 +85,7 @@
         self.idempotent = idempotent
         self.priority = priority
         self.caller_service = caller_service
+        self.repeat = repeat
 
 
 class TargetState(messages.Message):
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -495,7 +495,14 @@
         """Run a request; its response is delivered to the client."""
         self.clients[request.number] = client
         now = self.clock.monotonic()
-        self.perform(self.entry.request(request, now))
+        self.perform(
+            self.entry.request(
+                request,
+                now,
+                len(self.execution.runs),
+                self.execution.running_retries,
+            )
+        )
 
     def client_disconnected(self, number: int) -> None:
         """Cancel the request of a client that has disconnected."""
--- a/src/hickorythread/messages.py
+++ b/src/hickorythread/messages.py
@@ -22,6 +22,8 @@
     __slots__: tuple[str, ...] = ()
     code = 0
     types: tuple[type, ...] = ()
+    # Values of the last fields if a node of an earlier release omits them.
+    defaults: tuple[Any, ...] = ()
 
     def values(self) -> list[Any]:
         """Return the field values in wire order."""
--- a/tests/mesh_load.py
+++ b/tests/mesh_load.py
@@ -124,6 +124,13 @@
         self.max_credit = dict.fromkeys(kinds, 0.0)
         self.statuses = {}
         self.sends = self.cross_domain_sends = 0
+        # (time, service) of each request, and of each arrival at a target
+        # that counts as a retry: beyond the first of its request, or of a
+        # call that a retry makes.
+        self.requested = []
+        self.retried = []
+        self.arrived = set()
+        self.calls_of_retries = set()
         self.kinds = kinds
         self.hosts = {}
         for number, (service, domain, slots, duration_factor) in enumerate(
@@ -180,7 +187,9 @@
         self.max_credit[name] += kind.value
         self.request(host, name, self.now, 1, None)
 
-    def request(self, host, name, started_at, retries, on_done):
+    def request(
+        self, host, name, started_at, retries, on_done, by_retry=False
+    ):
         kind = self.kinds[name]
         self.last_number += 1
         remaining = kind.deadline - (self.now - started_at)
@@ -191,6 +200,10 @@
             received_at=self.now,
             remaining=remaining,
         )
+        service = kind.route.destinations[0][0]
+        self.requested.append((self.now, service))
+        if by_retry:
+            self.calls_of_retries.add(request.request_id)
         self.open_requests[self.last_number] = (
             host,
             name,
@@ -198,7 +211,14 @@
             retries,
             on_done,
         )
-        host.perform(host.entry.request(request, self.now))
+        host.perform(
+            host.entry.request(
+                request,
+                self.now,
+                len(host.execution.runs),
+                host.execution.running_retries,
+            )
+        )
 
     def responded(self, number, response):
         host, name, started_at, retries, on_done = self.open_requests.pop(
@@ -241,7 +261,35 @@
             self.cross_domain_sends += other.domain != host.domain
         self.schedule(self.now + delay, other.receive, host.host_id, message)
 
+    def record_arrival(self, host, request_id):
+        """Return whether an arrival at a target counts as a retry."""
+        is_retry = request_id in self.arrived
+        if is_retry or request_id in self.calls_of_retries:
+            self.retried.append((self.now, host.service))
+        self.arrived.add(request_id)
+        return is_retry
+
+    def max_retry_excess(self, share, window):
+        """Return by how much retries exceed a share of the requests at most.
+
+        It looks at each service and each span of window seconds that starts
+        at a whole second.
+        """
+        excess = 0.0
+        for service in {host.service for host in self.hosts.values()}:
+            for start in range(int(self.now - window) + 1):
+                requests, retries = (
+                    sum(
+                        start <= when < start + window and name == service
+                        for when, name in entries
+                    )
+                    for entries in (self.requested, self.retried)
+                )
+                excess = max(excess, retries - share * requests)
+        return excess
+
     def run(self, host, action):
+        is_retry = self.record_arrival(host, action.call.request_id)
         kind = next(
             kind
             for kind in self.kinds.values()
@@ -267,9 +315,16 @@
             for _ in range(times)
             if self.random.random() < share
         ]
-        self.schedule(self.now + duration, self.call_next, host, action, calls)
+        self.schedule(
+            self.now + duration,
+            self.call_next,
+            host,
+            action,
+            calls,
+            is_retry,
+        )
 
-    def call_next(self, host, action, calls):
+    def call_next(self, host, action, calls, is_retry):
         if self.now > action.deadline:
             self.finish(host, action, events.TargetResponse(504, [], b""))
             return
@@ -279,11 +334,11 @@
 
         def on_done(succeeded):
             if succeeded:
-                self.call_next(host, action, calls[1:])
+                self.call_next(host, action, calls[1:], is_retry)
             else:
                 self.finish(host, action, events.TargetResponse(500, [], b""))
 
-        self.request(host, calls[0], self.now, 0, on_done)
+        self.request(host, calls[0], self.now, 0, on_done, is_retry)
 
     def finish(self, host, action, answer):
         if action.run_id in host.execution.runs:
--- a/tests/test_mesh_load.py
+++ b/tests/test_mesh_load.py
@@ -4,10 +4,14 @@
 in a single decision.
 """
 
+import msgpack
 import pytest
 
+from hickorythread import codec
 from hickorythread.mesh import admission
+from hickorythread.mesh import origins
 from hickorythread.mesh import placement
+from tests import mesh_builders as build
 from tests import mesh_load
 
 SECONDS = 6.0
@@ -94,3 +98,51 @@
     flat_total, _, flat_far_share = run_simulation(1.0, seed=seed)
     assert far_share < 0.4 * flat_far_share
     assert total > flat_total - 0.03
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_calls_of_retries_stay_within_the_retry_budget(seed):
+    """Guards against budgets that ignore the calls which retries make.
+
+    Every service retries its share, and the retries of one service repeat
+    its calls to the next one, which count there as retries too.
+    """
+    load = mesh_load.guild(3.0, seed, slots=60)
+    for host in load.hosts.values():
+        host.shed_rate = 0.25
+    load.simulate(11.0)
+    settings = build.make_settings()
+    excess = load.max_retry_excess(settings.retry_share, window=10.0)
+    assert excess <= settings.retry_slack
+
+
+def test_route_is_for_clients_if_requests_come_while_nothing_runs():
+    known = origins.CallOrigins()
+    assert known.retry_probability("checks", 4, 1) == 0.25
+    for _ in range(origins.MIN_CLIENT_REQUESTS):
+        assert known.retry_probability("specs", 0, 0) == 0.0
+    assert known.retry_probability("specs", 4, 1) == 0.0
+    assert known.retry_probability("checks", 4, 1) == 0.25
+    known.keep_only({"checks"})
+    assert known.retry_probability("specs", 4, 1) == 0.25
+
+
+def test_restart_of_all_nodes_does_not_renew_their_retry_budgets():
+    """Guards against a mesh that spends its slack once more per restart."""
+    made_view = build.make_view(targets=12)
+    spent = 0
+    for number in range(1, 13):
+        for _ in range(2):
+            plane = build.make_entry(made_view, number, connected=12)
+            while plane.budget.take("spec-desk"):
+                spent += 1
+    assert 0 < spent <= plane.settings.retry_slack / 2
+
+
+def test_calls_of_earlier_releases_are_understood():
+    """Guards against refusing calls while a release is rolled out."""
+    call = build.make_call()
+    frame = codec.encode(call, 1)
+    fields = msgpack.unpackb(frame)[:-1]
+    (decoded,) = codec.Decoder().feed(msgpack.packb(fields))
+    assert decoded.ok.message == call
