Let two nodes read for the small failure domains of a region

Cause: in failure domains of up to six hosts every node read for itself.

Change: the small domains of a region form one group with the readers of one. A reader packs the targets and each difference once for all followers, and the index of targets is built once after many changes instead of once for each.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -44,8 +44,9 @@
     """Hold a request until its response is known.
 
     runs counts the attempts that may have run at a target, refusals those
-    that did not and rejections those of them that a target refused. failure_response is the error response of a target, which
-    the client gets if no retry succeeds.
+    that did not and rejections those of them that a target refused.
+    failure_response is the error response of a target, which the client gets
+    if no retry succeeds.
     """
 
     __slots__ = (
--- a/src/hickorythread/mesh/exchange.py
+++ b/src/hickorythread/mesh/exchange.py
@@ -43,11 +43,9 @@
     if view.version > request.version:
         if request.version in view.packed:
             base = request.version
-        configuration = codec.compress_packed(
-            view.packed[view.version], view.packed.get(base, b"")
-        )
+        configuration = view.pack_difference(request.version)
     if view.revision > request.revision:
-        targets = codec.compress(view.pack_targets())
+        targets = view.pack_targets()
     if not configuration and not targets:
         if view.operator_revision <= request.operator_revision:
             return None
--- a/src/hickorythread/mesh/readership.py
+++ b/src/hickorythread/mesh/readership.py
@@ -1,11 +1,15 @@
-"""Selects the nodes of a failure domain that read the source."""
+"""Selects the nodes that read the source for those near them."""
 
 from collections.abc import Collection
+from collections.abc import Mapping
 import zlib
 
 READER_COUNT = 2
-# In a failure domain of up to this size every node reads for itself.
-MAX_INDEPENDENT_HOSTS = 6
+# The small failure domains of a region form one group, so that the number of
+# readers does not grow with that of the domains. A larger domain is a group.
+MAX_SMALL_DOMAIN_HOSTS = 6
+# In a group of small domains of up to this size every node reads for itself.
+MAX_INDEPENDENT_HOSTS = 12
 # If no reader reports contact with the source for STALE_SECONDS, further nodes
 # start to read, one more every EXTRA_READER_SECONDS.
 STALE_SECONDS = 1.3
@@ -17,27 +21,42 @@
 
 
 class ReaderSelection:
-    """Rank the hosts of one failure domain; the highest-ranked ones read.
+    """Rank the hosts of one group; the highest-ranked ones read.
 
+    domains holds the failure domains of the group.
     A reader notifies the others after each response of the source. If it
     loses contact with the source, the notices stop, and the next hosts in
     rank read until a higher-ranked node has contact again.
     """
 
-    def __init__(self, host_id: str, now: float) -> None:
+    def __init__(self, host_id: str, failure_domain: str, now: float) -> None:
         self.host_id = host_id
+        self.failure_domain = failure_domain
+        self.domains = frozenset((failure_domain,))
         self.started_at = now
         self.contact_at = now
         self.ranked: list[str] = [host_id]
+        self.domain_size = 1
 
     @property
     def shared(self) -> bool:
-        """Return whether a few nodes read for the whole failure domain."""
-        return len(self.ranked) > MAX_INDEPENDENT_HOSTS
+        """Return whether a few nodes read for the whole group."""
+        return (
+            len(self.ranked) > MAX_INDEPENDENT_HOSTS
+            or self.domain_size > MAX_SMALL_DOMAIN_HOSTS
+        )
 
-    def set_hosts(self, host_ids: Collection[str]) -> None:
-        """Replace the hosts of the failure domain."""
-        hosts = {self.host_id, *host_ids}
+    def set_hosts(self, hosts_by_domain: Mapping[str, set[str]]) -> None:
+        """Replace the hosts of the region by their failure domains."""
+        hosts = {self.host_id, *hosts_by_domain.get(self.failure_domain, ())}
+        domains = {self.failure_domain}
+        self.domain_size = len(hosts)
+        if self.domain_size <= MAX_SMALL_DOMAIN_HOSTS:
+            for name, others in hosts_by_domain.items():
+                if len(others) <= MAX_SMALL_DOMAIN_HOSTS:
+                    domains.add(name)
+                    hosts |= others
+        self.domains = frozenset(domains)
         self.ranked = sorted(hosts, key=_rank_key)
 
     def record_contact(self, host_id: str, now: float) -> None:
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -86,11 +86,11 @@
         # reader.
         self.source_contact_at = now
         self.reader_selection = readership.ReaderSelection(
-            settings.host_id, now
+            settings.host_id, settings.failure_domain, now
         )
-        # Connected nodes of the failure domain, whether or not their targets
+        # Failure domains of the connected nodes, whether or not their targets
         # are registered.
-        self.domain_peers: set[str] = set()
+        self.peer_domains: dict[str, str] = {}
         self.watchers = [
             watcher.Watcher(topic, source, self, random_source, on_read)
             for topic in (interfaces.OPERATOR, interfaces.TARGETS)
@@ -163,7 +163,7 @@
         logs.info("source_left", topic=topic)
 
     def _knows_hosts(self, now: float) -> bool:
-        """Return whether the hosts of the failure domain are known."""
+        """Return whether the hosts nearby are known."""
         return self.view.revision > 0 and not self._is_mesh_starting(now)
 
     def _is_mesh_starting(self, now: float) -> bool:
@@ -219,14 +219,15 @@
         )
 
     def _view_updated(self, previously_evacuated: frozenset[str]) -> None:
-        domain = self.settings.failure_domain
-        self.reader_selection.set_hosts(
-            {
-                target.host_id
-                for target in self.view.targets.values()
-                if target.failure_domain == domain
-            }
-        )
+        regions = self.settings.regions
+        region = regions.get(self.settings.failure_domain)
+        hosts: dict[str, set[str]] = {}
+        for target in self.view.targets.values():
+            if regions.get(target.failure_domain) == region:
+                hosts.setdefault(target.failure_domain, set()).add(
+                    target.host_id
+                )
+        self.reader_selection.set_hosts(hosts)
         self.view_changed(previously_evacuated)
 
     # Exchange with peers.
@@ -259,8 +260,8 @@
     def peer_connected(self, peer: events.Peer) -> None:
         """Announce the view to a new peer; request its view if needed."""
         host_id = peer.host_id
-        if peer.failure_domain == self.settings.failure_domain:
-            self.domain_peers.add(host_id)
+        self.peer_domains[host_id] = peer.failure_domain
+        if peer.failure_domain in self.reader_selection.domains:
             self.peers.send(host_id, exchange.make_notice(self.view, False))
         now = self.clock.monotonic()
         if (
@@ -271,12 +272,12 @@
 
     def peer_lost(self, host_id: str) -> None:
         """Remove a node that is no longer connected."""
-        self.domain_peers.discard(host_id)
+        self.peer_domains.pop(host_id, None)
 
     def notice_received(
         self, host_id: str, notice: messages.ViewNotice
     ) -> None:
-        """Handle the view notice of a node in the same failure domain."""
+        """Handle the view notice of a node nearby."""
         now = self.clock.monotonic()
         if notice.fresh:
             self.source_contact_at = now
@@ -333,10 +334,11 @@
         return MAX_LAG_SECONDS
 
     def _send_notices(self, fresh: bool) -> None:
-        """Announce the view to the connected nodes of the failure domain."""
+        """Announce the view to the connected nodes of the group."""
         if not self.reader_selection.shared:
             return
         notice = exchange.make_notice(self.view, fresh)
-        # A send that fails removes the host from the set.
-        for host_id in list(self.domain_peers):
-            self.peers.send(host_id, notice)
+        # A send that fails removes the host from the map.
+        for host_id, domain in list(self.peer_domains.items()):
+            if domain in self.reader_selection.domains:
+                self.peers.send(host_id, notice)
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -1,6 +1,6 @@
 """The view of the mesh that a node holds, from the source or from peers."""
 
-from typing import Any
+from collections.abc import Iterable
 
 from hickorythread import codec
 from hickorythread.mesh import models
@@ -30,7 +30,12 @@
         self.configuration: models.Configuration | None = None
         self.packed: dict[int, bytes] = {}
         self.targets: dict[str, models.Target] = {}
-        self.by_service: dict[str, list[models.Target]] = {}
+        # Built again after the targets have changed, None until then.
+        self.index: dict[str, list[models.Target]] | None = None
+        self.packed_targets: bytes | None = None
+        # Compressed forms of the newest version by the version that they
+        # start from, 0 for the whole of it.
+        self.differences: dict[int, bytes] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.departed: dict[str, None] = {}
         self.revision = 0
@@ -48,11 +53,19 @@
         """Return the active configuration version, 0 if there is none."""
         return self.configuration.version if self.configuration else 0
 
+    @property
+    def by_service(self) -> dict[str, list[models.Target]]:
+        """Return the targets of each service, one for each address."""
+        if self.index is None:
+            self.index = _group_by_service(self.targets.values())
+        return self.index
+
     def put_configuration(self, configuration: models.Configuration) -> bool:
         """Activate a version if it is newer; return whether it was."""
         if configuration.version <= self.version:
             return False
         self.configuration = configuration
+        self.differences.clear()
         self.packed[configuration.version] = codec.pack(configuration.pack())
         if len(self.packed) > MAX_PACKED_VERSIONS:
             del self.packed[next(iter(self.packed))]
@@ -71,7 +84,7 @@
         self.departed.pop(target.id, None)
         if self.targets.get(target.id) != target:
             self.targets[target.id] = target
-            self._rebuild_index()
+            self._targets_changed()
 
     def remove_target(
         self, target_id: str, now: float, from_snapshot: bool = False
@@ -133,31 +146,53 @@
             self._remove(target_id)
         return expired
 
-    def pack_targets(self) -> list[Any]:
-        """Return the targets as plain lists for a message."""
-        return [target.values() for target in self.targets.values()]
+    def pack_targets(self) -> bytes:
+        """Return the compressed targets for a message."""
+        if self.packed_targets is None:
+            self.packed_targets = codec.compress(
+                [target.values() for target in self.targets.values()]
+            )
+        return self.packed_targets
+
+    def pack_difference(self, version: int) -> bytes:
+        """Return the newest version as its difference to another one.
+
+        It is complete if the version is not among the recent ones.
+        """
+        base = version if version in self.packed else 0
+        difference = self.differences.get(base)
+        if difference is None:
+            difference = self.differences[base] = codec.compress_packed(
+                self.packed[self.version], self.packed.get(base, b"")
+            )
+        return difference
 
     def _remove(self, target_id: str) -> None:
         if self.targets.pop(target_id, None) is not None:
             self.departed[target_id] = None
             while len(self.departed) > MAX_DEPARTED_TARGETS:
                 del self.departed[next(iter(self.departed))]
-            self._rebuild_index()
+            self._targets_changed()
 
-    def _rebuild_index(self) -> None:
-        """Group the targets by service, keeping one per address.
+    def _targets_changed(self) -> None:
+        self.index = None
+        self.packed_targets = None
 
-        A host runs one target. The entry of a crashed target may still exist
-        when its successor registers, so the one started last is used.
-        """
-        by_address: dict[str, models.Target] = {}
-        for target in self.targets.values():
-            current = by_address.get(target.address)
-            if (
-                current is None
-                or current.started_at_ms <= target.started_at_ms
-            ):
-                by_address[target.address] = target
-        self.by_service = {}
-        for target in by_address.values():
-            self.by_service.setdefault(target.service, []).append(target)
+
+def _group_by_service(
+    targets: Iterable[models.Target],
+) -> dict[str, list[models.Target]]:
+    """Group targets by service, keeping one per address.
+
+    A host runs one target. The entry of a crashed target may still exist when
+    its successor registers, so the one started last is used.
+    """
+    by_address: dict[str, models.Target] = {}
+    for target in targets:
+        current = by_address.get(target.address)
+        if current is None or current.started_at_ms <= target.started_at_ms:
+            by_address[target.address] = target
+    by_service: dict[str, list[models.Target]] = {}
+    for target in by_address.values():
+        by_service.setdefault(target.service, []).append(target)
+    return by_service
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -5,6 +5,7 @@
 from hickorythread import codec
 from hickorythread.mesh import exchange
 from hickorythread.mesh import interfaces
+from hickorythread.mesh import messages
 from hickorythread.mesh import readership
 from hickorythread.mesh import view as mesh_view
 from tests import mesh_builders as build
@@ -15,8 +16,8 @@
 MAX_UPDATE_SECONDS = 1.9
 
 
-def make_domain(size=16):
-    domain = view_domain.Domain(size)
+def make_domain(size=16, names=("launceston",)):
+    domain = view_domain.Domain(size, names)
     domain.run_for(6.0)
     assert domain.lowest_version() == 1
     return domain
@@ -37,8 +38,53 @@
     assert domain.source.calls <= 2 * (10 / 0.7 + 10 / 4 + 2)
 
 
+SMALL_DOMAINS = ("launceston", "devonport", "burnie", "george-town")
+
+
+def count_readers(domain):
+    return sum(
+        member.synchronizer.reads_topic(interfaces.TARGETS)
+        for member in domain.members.values()
+    )
+
+
+def test_two_nodes_read_for_a_region_of_small_domains():
+    """Guards against readers whose number grows with the failure domains.
+
+    When each of 16 nodes fetched every version over the link between two
+    regions, versions took longer than they may.
+    """
+    domain = make_domain(16, SMALL_DOMAINS)
+    assert count_readers(domain) == readership.READER_COUNT
+    domain.source.calls = 0
+    domain.source.put_version(2)
+    domain.run_for(MAX_UPDATE_SECONDS)
+    assert domain.lowest_version() == 2
+    assert domain.source.calls < 20
+
+
+def test_region_of_small_domains_survives_the_loss_of_its_readers():
+    domain = make_domain(16, SMALL_DOMAINS)
+    for member in domain.readers()[:2]:
+        member.is_isolated = True
+    domain.source.put_version(2)
+    domain.run_for(MAX_UPDATE_SECONDS + 2 * readership.EXTRA_READER_SECONDS)
+    assert domain.lowest_version() == 2
+
+
+def test_large_domain_beside_small_ones_has_readers_of_its_own():
+    """Guards against groups whose members disagree about their readers."""
+    names = ("launceston",) * 10 + ("devonport", "burnie")
+    domain = make_domain(24, names)
+    large = domain.members["10.0.0.1"].synchronizer.reader_selection
+    small = domain.members["10.0.0.10"].synchronizer.reader_selection
+    assert large.shared and large.domains == {"launceston"}
+    assert not small.shared and small.domains == {"devonport", "burnie"}
+    assert len(large.ranked) == 20 and len(small.ranked) == 4
+
+
 def test_every_node_of_a_small_domain_reads():
-    domain = make_domain(readership.MAX_INDEPENDENT_HOSTS)
+    domain = make_domain(readership.MAX_SMALL_DOMAIN_HOSTS)
     assert all(
         member.synchronizer.reads_topic(interfaces.TARGETS)
         for member in domain.members.values()
@@ -235,3 +281,45 @@
     data = codec.compress_packed(packed, packed)
     assert codec.decompress(data, packed).ok == list(range(1000))
     assert codec.decompress(data).is_error()
+
+
+def test_index_of_targets_is_built_once_for_many_changes(monkeypatch):
+    """Guards against work that grows with the square of the targets."""
+    built = []
+    group = mesh_view._group_by_service
+
+    def count(targets):
+        built.append(len(targets))
+        return group(targets)
+
+    monkeypatch.setattr(mesh_view, "_group_by_service", count)
+    view = mesh_view.View()
+    targets = [build.make_target(number) for number in range(1, 501)]
+    view.replace_targets({target.id: target for target in targets}, 5, 0.0)
+    for target in targets[:100]:
+        view.remove_target(target.id, 1.0)
+    assert len(view.by_service["spec-desk"]) == 400
+    assert built == [400]
+
+
+def test_followers_share_one_packed_difference(monkeypatch):
+    """Guards against a reader that compresses once for each follower."""
+    packed = []
+    compress = codec.compress_packed
+
+    def count(data, dictionary=b""):
+        packed.append(len(data))
+        return compress(data, dictionary)
+
+    monkeypatch.setattr(codec, "compress_packed", count)
+    view = mesh_view.View()
+    view.put_configuration(build.make_configuration(1))
+    view.put_configuration(build.make_configuration(2))
+    request = messages.ViewRequest(1, 0, 0)
+    replies = {
+        exchange.make_reply(view, request, 0.0).configuration
+        for _ in range(20)
+    }
+    assert len(replies) == len(packed) == 1
+    view.put_configuration(build.make_configuration(3))
+    assert exchange.make_reply(view, request, 0.0).configuration not in replies
--- a/tests/view_domain.py
+++ b/tests/view_domain.py
@@ -1,4 +1,4 @@
-"""Simulates the synchronizers of one failure domain and their source."""
+"""Simulates the synchronizers of one region and their source."""
 
 import heapq
 import random
@@ -84,7 +84,11 @@
         self.by_host = {}
         self.versions = []
         self.synchronizer = synchronizer.Synchronizer(
-            build.make_settings(number, failure_domain="launceston"),
+            build.make_settings(
+                number,
+                failure_domain=domain.name_of(number),
+                regions=dict.fromkeys(domain.names, "north"),
+            ),
             mesh_view.View(),
             None,
             self,
@@ -102,7 +106,8 @@
         """Open streams to other members without a handshake."""
         self.by_host = dict(others)
         for host_id in others:
-            peer = events.Peer(host_id, 1, "north", "launceston")
+            name = self.domain.name_of(int(host_id.split(".")[-1]))
+            peer = events.Peer(host_id, 1, "north", name)
             self.synchronizer.peer_connected(peer)
 
     def send(self, host_id, message):
@@ -174,15 +179,21 @@
 
 
 class Domain:
-    """The members of a failure domain, their clock and their messages."""
+    """The members of a region, their clock and their messages.
 
-    def __init__(self, size):
+    They are spread over one failure domain or several.
+    """
+
+    def __init__(self, size, names=("launceston",)):
+        self.names = names
         self.now = 0.0
         self.timers = []
         self.last_timer = 0
         self.source = Source(self)
         for number in range(1, size + 1):
-            target = build.make_target(number, failure_domain="launceston")
+            target = build.make_target(
+                number, failure_domain=self.name_of(number)
+            )
             self.source.change(interfaces.PutTarget(target))
         self.members = {}
         for number in range(1, size + 1):
@@ -193,6 +204,10 @@
             del others[member.host_id]
             member.connect(others)
 
+    def name_of(self, number):
+        """Return the failure domain of a member."""
+        return self.names[number % len(self.names)]
+
     def monotonic(self):
         return self.now
 
