End responses of the store and messages of peers that never complete

Cause: the timeout of a call to the store counted from the last byte, so a watch that sent half a line and then a byte every second held the watcher for ever. A peer whose stream brought bytes but no whole message counted as responsive.

Change: the client of the store uses the connections and the parser of the target's client, with limits for the wait for each byte and for the whole response; a quiet watch is still waited for. A stream whose message lacks its end for 10 s is closed.

Measured: the new tests, with 200 bytes dripped at 20 ms each.

--- a/src/hickorythread/codec.py
+++ b/src/hickorythread/codec.py
@@ -38,7 +38,7 @@
 class Decoder:
     """Decode the messages of one stream incrementally."""
 
-    __slots__ = ("unpacker", "failed")
+    __slots__ = ("unpacker", "failed", "fed_bytes", "decoded_bytes")
 
     def __init__(self) -> None:
         self.unpacker = msgpack.Unpacker(
@@ -47,6 +47,13 @@
             strict_map_key=True,
         )
         self.failed = False
+        self.fed_bytes = 0
+        self.decoded_bytes = 0
+
+    @property
+    def incomplete(self) -> bool:
+        """Return whether the end of a message is missing."""
+        return self.fed_bytes > self.decoded_bytes
 
     def feed(self, data: bytes) -> list[DecodeResult]:
         """Decode the messages that the data completes.
@@ -57,12 +64,14 @@
             return []
         try:
             self.unpacker.feed(data)
+            self.fed_bytes += len(data)
         except msgpack.BufferFull:
             return [self._fail("oversized", "message exceeds the size limit")]
         decoded: list[DecodeResult] = []
         while not self.failed:
             try:
                 decoded.append(_decode_message(self.unpacker.unpack()))
+                self.decoded_bytes = self.unpacker.tell()
             except msgpack.OutOfData:
                 break
             except (
--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -115,6 +115,12 @@
         return int(text)
 
 
+class CloseDelimitedResponse(Response):
+    """Accept a response whose body may end when the connection is closed."""
+
+    allow_close_delimited = True
+
+
 class Connection(urllib3.connection.HTTPConnection):
     """Hold a persistent connection and the buffer of its received bytes.
 
@@ -208,3 +214,95 @@
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
         return
+
+
+class Session:
+    """Send GET requests to one address over persistent connections."""
+
+    __slots__ = ("host", "port", "options", "idle")
+
+    def __init__(
+        self, host: str, port: int, options: list[tuple[int, int, int | bytes]]
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.options = options
+        self.idle: list[Connection] = []
+
+    def get(self, url: str, limits: "Limits") -> tuple[int, bytes]:
+        """Return the status and the body of a response.
+
+        Raises OSError, EOFError, ValueError or an exception of http.client or
+        urllib3 if there is none within the limits.
+        """
+        connection = self._acquire(limits.connect_seconds)
+        reusable = False
+        try:
+            reader = connection.reader
+            reader.limit(limits.total_seconds)
+            reader.idle_timeout = limits.idle_seconds
+            head = f"GET {url} HTTP/1.1\r\nHost: {self.host}\r\n\r\n"
+            send(
+                connection.sock,
+                head.encode("latin-1"),
+                b"",
+                limits.idle_seconds,
+            )
+            response = read_response_head(
+                connection, "GET", CloseDelimitedResponse
+            )
+            body = read_body(response, limits.max_bytes)
+            reusable = not response.will_close and reader.is_empty()
+        finally:
+            if reusable:
+                self.idle.append(connection)
+            else:
+                connection.close()
+        return response.status, body
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self.idle:
+            self.idle.pop().close()
+
+    def _acquire(self, connect_seconds: float) -> Connection:
+        while self.idle:
+            connection = self.idle.pop()
+            if is_usable(connection.sock):
+                return connection
+            connection.close()
+        connection = Connection(
+            self.host,
+            self.port,
+            timeout=connect_seconds,
+            socket_options=self.options,
+        )
+        connection.connect()
+        return connection
+
+
+class Limits:
+    """Limit the time and the size of one exchange; times are in seconds.
+
+    idle_seconds limits the wait for each next byte, total_seconds the time
+    until the response is complete.
+    """
+
+    __slots__ = (
+        "connect_seconds",
+        "idle_seconds",
+        "total_seconds",
+        "max_bytes",
+    )
+
+    def __init__(
+        self,
+        connect_seconds: float,
+        idle_seconds: float,
+        total_seconds: float,
+        max_bytes: int,
+    ) -> None:
+        self.connect_seconds = connect_seconds
+        self.idle_seconds = idle_seconds
+        self.total_seconds = total_seconds
+        self.max_bytes = max_bytes
--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -25,12 +25,6 @@
 BODYLESS_METHODS = frozenset(("GET", "HEAD", "DELETE"))
 
 
-class _Response(http_client.Response):
-    """Accept a response whose body may end when the connection is closed."""
-
-    allow_close_delimited = True
-
-
 class _IdleConnection:
     """Hold a persistent connection and the time at which it expires."""
 
@@ -115,7 +109,7 @@
                 PROBE_TIMEOUT_SECONDS,
             )
             response = http_client.read_response_head(
-                connection, "GET", _Response
+                connection, "GET", http_client.CloseDelimitedResponse
             )
             body = http_client.read_body(response, MAX_RESPONSE_BYTES)
             return self.dialect.read_response(
@@ -197,7 +191,9 @@
         """Read the response to a call; skip responses to earlier calls."""
         for _ in range(MAX_RESPONSES_PER_REQUEST):
             response = http_client.read_response_head(
-                connection, action.call.method, _Response
+                connection,
+                action.call.method,
+                http_client.CloseDelimitedResponse,
             )
             body = http_client.read_body(response, MAX_RESPONSE_BYTES)
             if self.dialect.matches_call(action.call, response.fields):
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store."""
 
+import http.client
 import json
 from typing import Any
 from urllib import parse
@@ -7,6 +8,7 @@
 import expression
 import urllib3
 
+from hickorythread import http_client
 from hickorythread import keepalive
 from hickorythread import logs
 from hickorythread import utils
@@ -21,6 +23,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.6
 READ_TIMEOUT_SECONDS = 1.5
 WATCH_MARGIN_SECONDS = 3.0
+# How long the bytes of a response may take to arrive after its first one.
+TRANSFER_SECONDS = 4.0
 MAX_RESPONSE_BYTES = 64 << 20
 MAX_PAGES = 1000
 _FAILURE_KINDS = {410: interfaces.HISTORY_UNAVAILABLE, 429: "rate"}
@@ -45,13 +49,7 @@
     def use_address(self, address: str) -> None:
         """Switch to another address of the store."""
         host, port = utils.split_address(address)
-        self.pool = urllib3.HTTPConnectionPool(
-            host,
-            port,
-            maxsize=len(PREFIXES),
-            retries=False,
-            socket_options=keepalive.OPTIONS,
-        )
+        self.session = http_client.Session(host, port, keepalive.OPTIONS)
 
     def read(self, topic: str) -> interfaces.ReadResult:
         """Return everything under a topic.
@@ -64,7 +62,7 @@
         query = {"prefix": PREFIXES[topic]}
         try:
             for _ in range(MAX_PAGES):
-                page = self._get("kv-range", query, READ_TIMEOUT_SECONDS)
+                page = self._get("kv-range", query, 0.0)
                 if revision < 0:
                     revision = page["store_revision"]
                 items = page["items"]
@@ -88,7 +86,7 @@
             "wait_ms": str(int(wait * 1000)),
         }
         try:
-            result = self._get("kv-watch", query, wait + WATCH_MARGIN_SECONDS)
+            result = self._get("kv-watch", query, wait)
             items = _latest_events(result["events"])
             changes = self._decode_items(items)
             revision = result["store_revision"]
@@ -101,29 +99,31 @@
             interfaces.ChangeBatch(changes, max(after, revision), superseded)
         )
 
-    def _get(
-        self, endpoint: str, query: dict[str, str], read_timeout: float
-    ) -> Any:
+    def _get(self, endpoint: str, query: dict[str, str], wait: float) -> Any:
+        """Return the document of a response that may take wait seconds."""
         url = f"/-/{endpoint}?{parse.urlencode(query)}"
+        margin = WATCH_MARGIN_SECONDS if wait else READ_TIMEOUT_SECONDS
+        limits = http_client.Limits(
+            CONNECT_TIMEOUT_SECONDS,
+            wait + margin,
+            wait + margin + TRANSFER_SECONDS,
+            MAX_RESPONSE_BYTES,
+        )
         try:
-            response = self.pool.request(
-                "GET",
-                url,
-                redirect=False,
-                preload_content=False,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_SECONDS, read=read_timeout
-                ),
-            )
-            data = response.read(MAX_RESPONSE_BYTES)
-            response.release_conn()
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+            status, data = self.session.get(url, limits)
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+            EOFError,
+            ValueError,
+        ) as error:
             raise _StoreError(
                 "unreachable", f"{type(error).__name__}: {error}"[:200]
             ) from error
-        if response.status != 200:
-            kind = _FAILURE_KINDS.get(response.status, "refused")
-            raise _StoreError(kind, f"status {response.status}")
+        if status != 200:
+            kind = _FAILURE_KINDS.get(status, "refused")
+            raise _StoreError(kind, f"status {status}")
         try:
             return json.loads(data)
         except (ValueError, RecursionError) as error:
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -22,6 +22,8 @@
 MAX_SEND_QUEUE_BYTES = 8 * 1024 * 1024
 MAX_PENDING_MESSAGES = 512
 HANDSHAKE_TIMEOUT_SECONDS = 5.0
+# A peer that never completes a message must not count as responsive.
+MAX_MESSAGE_SECONDS = 10.0
 CONNECT_TIMEOUT_SECONDS = 2.0
 ACCEPTS_PER_SECOND = 50.0
 RECONNECT_FIRST_SECONDS = 0.1
@@ -72,6 +74,7 @@
         "clock_offset",
         "awaiting_offset",
         "heard_at",
+        "incomplete_since",
     )
 
     def __init__(
@@ -94,6 +97,7 @@
         self.clock_offset = deadlines.ClockOffset()
         self.awaiting_offset: list[tuple[Any, float]] = []
         self.heard_at = manager.clock.monotonic()
+        self.incomplete_since: float | None = None
 
     def send(self, message: messages.Message) -> bool:
         """Queue a message; returns False once the stream is closed."""
@@ -166,8 +170,12 @@
                 if not data:
                     break
                 self.heard_at = self.manager.clock.monotonic()
-                for result in self.decoder.feed(data):
+                results = self.decoder.feed(data)
+                for result in results:
                     self.manager.handle_decoded(self, result)
+                if self._message_overdue(bool(results)):
+                    reason = "message takes too long"
+                    break
         except EOFError:
             # A green socket raises EOFError if another task closes it during
             # recv(). The exception must not reach the hub.
@@ -176,6 +184,18 @@
             reason = f"read failed: {error.strerror}"
         self.close(reason)
 
+    def _message_overdue(self, progressed: bool) -> bool:
+        """Return whether the end of a message is missing for too long.
+
+        progressed tells whether the last bytes completed a message.
+        """
+        if not self.decoder.incomplete:
+            self.incomplete_since = None
+            return False
+        if progressed or self.incomplete_since is None:
+            self.incomplete_since = self.heard_at
+        return self.heard_at - self.incomplete_since > MAX_MESSAGE_SECONDS
+
     def close(self, reason: str) -> None:
         """Close the socket; the manager is notified once."""
         if self.closed:
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -3,12 +3,15 @@
 import contextlib
 import json
 import queue
+import select
 import socket
 import threading
 
 import eventlet
 import urllib3
 
+MAX_DRIPS = 200
+
 
 class ManualClock:
     """A clock that advances only when a test sets it."""
@@ -111,6 +114,32 @@
     return script
 
 
+def drip(head, piece, drips):
+    """Return a script that sends a piece every 20 ms until the client leaves.
+
+    The number of pieces that were sent is put into the queue drips.
+    """
+
+    def script(server, connection):
+        server.read_request(connection)
+        sent = 0
+        try:
+            connection.sendall(head)
+            while sent < MAX_DRIPS and not left(connection):
+                connection.sendall(piece)
+                sent += 1
+        except OSError:
+            pass
+        drips.put(sent)
+
+    return script
+
+
+def left(connection):
+    """Wait 20 ms; return whether the client has closed its connection."""
+    return bool(select.select([connection], [], [], 0.02)[0])
+
+
 @contextlib.contextmanager
 def serving(factory):
     """Run a server in a thread with its own hub.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import queue
 import re
 
 import pytest
@@ -13,6 +14,7 @@
 from hickorythread.platform import headers
 from hickorythread.platform import store
 from tests import mesh_builders as build
+from tests import servers
 from tests import store_standin
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -209,7 +211,7 @@
         standin.error_status = status
         assert client.read(interfaces.OPERATOR).error.kind == kind
     standin.close()
-    client.pool.close()
+    client.session.close()
     assert client.read(interfaces.OPERATOR).error.kind == "unreachable"
 
 
@@ -341,3 +343,31 @@
         and WIRE_NAMES.search(path.read_text("utf-8"))
     ]
     assert found == []
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"
+
+
+@pytest.mark.parametrize("start", [b"", HEAD, HEAD + b'{"events": ['])
+@pytest.mark.parametrize("topic", [interfaces.OPERATOR, interfaces.TARGETS])
+def test_store_that_drips_is_given_up(monkeypatch, start, topic):
+    """Guards against a watch that never completes the line it began."""
+    monkeypatch.setattr(store, "WATCH_MARGIN_SECONDS", 0.1)
+    monkeypatch.setattr(store, "READ_TIMEOUT_SECONDS", 0.1)
+    monkeypatch.setattr(store, "TRANSFER_SECONDS", 0.1)
+    drips = queue.Queue()
+    scripts = [servers.drip(start, b" ", drips) for _ in range(2)]
+    with servers.ScriptedServer(*scripts) as server:
+        client = store.StoreClient(server.address, build.REGIONS)
+        assert client.read(topic).error.kind == "unreachable"
+        assert client.watch(topic, 1, 0.1).error.kind == "unreachable"
+        for _ in scripts:
+            assert drips.get(timeout=10) < servers.MAX_DRIPS
+
+
+def test_quiet_watch_is_not_given_up(standin, monkeypatch):
+    """Guards against ending a watch that has nothing to tell yet."""
+    monkeypatch.setattr(store, "TRANSFER_SECONDS", 0.0)
+    client = make_client(standin)
+    revision = client.read(interfaces.TARGETS).ok.revision
+    assert client.watch(interfaces.TARGETS, revision, 0.5).ok.changes == []
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -283,3 +283,27 @@
     wait(lambda: len(node.received) == 2)
     unknown, late = (message.beacon_age for _, message in node.received)
     assert unknown == -1.0 and late == pytest.approx(2.1)
+
+
+def test_message_that_never_ends_closes_the_stream(nodes):
+    """Guards against a peer that counts as responsive without a message."""
+    node = nodes[0]
+    peer = RawPeer.connect(node)
+    peer.send(hello("c"))
+    wait(lambda: node.opened)
+    (stream,) = node.streams.by_host["c"]
+    frame = codec.encode(messages.PushAck(1, 2), 0)
+    for _ in range(3):
+        # Messages that complete in time are no reason to close.
+        peer.sock.sendall(frame[:2])
+        wait(lambda: stream.decoder.incomplete)
+        node.clock.now += streams.MAX_MESSAGE_SECONDS - 1
+        peer.sock.sendall(frame[2:])
+        wait(lambda: not stream.decoder.incomplete)
+    assert len(node.received) == 3 and not node.closed
+    peer.sock.sendall(frame[:1])
+    wait(lambda: stream.decoder.incomplete)
+    node.clock.now += streams.MAX_MESSAGE_SECONDS + 1
+    peer.sock.sendall(frame[1:2])
+    wait(lambda: node.closed)
+    assert node.closed == [("c", "message takes too long")]
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -137,34 +137,6 @@
 
 
 STATUS = b"HTTP/1.1 200 OK\r\n" + ID
-MAX_DRIPS = 200
-
-
-def drip(head, piece, drips):
-    """Return a script that sends a piece every 20 ms until the client leaves.
-
-    The number of pieces that were sent is put into the queue drips.
-    """
-
-    def script(server, connection):
-        server.read_request(connection)
-        sent = 0
-        try:
-            connection.sendall(head)
-            while sent < MAX_DRIPS and not left(connection):
-                connection.sendall(piece)
-                sent += 1
-        except OSError:
-            pass
-        drips.put(sent)
-
-    return script
-
-
-def left(connection):
-    """Wait 20 ms; return whether the client has closed its connection."""
-    return bool(select.select([connection], [], [], 0.02)[0])
-
 
 ENDLESS = {
     "head": (b"", b"a"),
@@ -196,7 +168,7 @@
 def test_response_that_never_ends_is_ended_by_the_deadline(name, probe):
     """Guards against a target that holds a slot by sending byte after byte."""
     drips = queue.Queue()
-    with servers.ScriptedServer(drip(*ENDLESS[name], drips)) as server:
+    with servers.ScriptedServer(servers.drip(*ENDLESS[name], drips)) as server:
         client = make_client(server)
         if probe:
             result = client.probe("/healthz")
@@ -204,7 +176,7 @@
             result = client.run(make_run(seconds=0.3))
         assert isinstance(result, events.Failure)
         assert result.kind in ("lost", "timeout")
-        assert drips.get(timeout=10) < MAX_DRIPS
+        assert drips.get(timeout=10) < servers.MAX_DRIPS
         assert not client.idle
 
 
