Hold the removal of most targets of a service when entries have lapsed

Cause: removals were held back only on a node that had noticed the outage of the store.

A no_target line tells how many targets the service has, what shut them out and the revision of the view.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -316,7 +316,8 @@
             now,
         )
         if target is None:
-            return self._give_up(pending, "no-target", now)
+            log = self._log_no_target(pending, now)
+            return [log, *self._give_up(pending, "no-target", now)]
         self.last_call_id = call_id = self.last_call_id + 1
         pending.call_id = call_id
         pending.host_id = target.host_id
@@ -335,6 +336,29 @@
         message = self._make_forward(pending, now)
         return [events.Send(target.host_id, message)]
 
+    def _log_no_target(
+        self, pending: PendingRequest, now: float
+    ) -> events.Log:
+        """Return the line that says why no target may get a request."""
+        targets = self.view.by_service.get(pending.service, ())
+        return events.Log(
+            "no_target",
+            request=pending.request.request_id,
+            route=pending.route.name,
+            service=pending.service,
+            targets=len(targets),
+            reasons=self.placement.explain(
+                targets,
+                pending.route,
+                self.view.evacuated,
+                pending.tried_hosts,
+                now,
+            ),
+            revision=self.view.revision,
+            departed=len(self.view.departed),
+            held=len(self.view.pending_removals),
+        )
+
     def _make_forward(
         self, pending: PendingRequest, now: float
     ) -> messages.Forward:
--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -1,5 +1,6 @@
 """Select the target of a request by load, distance, failures and latency."""
 
+import collections
 from collections.abc import Collection
 import math
 
@@ -163,16 +164,51 @@
         now: float,
     ) -> bool:
         """Return whether a request of the route may be sent to a target."""
+        return not self.exclusion(target, route, evacuated, now)
+
+    def exclusion(
+        self,
+        target: models.Target,
+        route: models.Route,
+        evacuated: frozenset[str],
+        now: float,
+    ) -> str:
+        """Return why a target gets no requests of a route, empty if it may."""
         host_id = target.host_id
-        if target.draining or target.failure_domain in evacuated:
-            return False
+        if target.draining:
+            return "draining"
+        if target.failure_domain in evacuated:
+            return "evacuated"
         if host_id not in self.connected:
-            return False
+            return "not-connected"
         region = self.regions.get(target.failure_domain, "")
         if not route.allows(region):
-            return False
+            return "home-region"
         peer = self.peer(host_id)
-        return peer.usable and not peer.silent and now >= peer.suspended_until
+        if not peer.usable:
+            return "unusable"
+        if peer.silent:
+            return "silent"
+        return "suspended" if now < peer.suspended_until else ""
+
+    def explain(
+        self,
+        targets: Collection[models.Target],
+        route: models.Route,
+        evacuated: frozenset[str],
+        excluded: Collection[str],
+        now: float,
+    ) -> str:
+        """Return how many targets each reason excludes, for the log."""
+        counts = collections.Counter(
+            "tried"
+            if target.host_id in excluded
+            else self.exclusion(target, route, evacuated, now) or "usable"
+            for target in targets
+        )
+        return ",".join(
+            f"{reason}:{count}" for reason, count in sorted(counts.items())
+        )
 
     def score(
         self, target: models.Target, route: models.Route, now: float
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -1,5 +1,6 @@
 """The view of the mesh that a node holds, from the source or from peers."""
 
+import collections
 from collections.abc import Iterable
 
 from hickorythread import codec
@@ -86,17 +87,46 @@
             self.targets[target.id] = target
             self._targets_changed()
 
-    def remove_target(
-        self, target_id: str, now: float, from_snapshot: bool = False
+    def remove_targets(
+        self,
+        target_ids: Iterable[str],
+        now: float,
+        from_snapshot: bool = False,
     ) -> None:
-        """Remove a target, with a delay if the source has just recovered.
+        """Remove targets, with a delay if the source has just recovered.
 
-        from_snapshot is true if the target is missing from a complete list.
-        Its entry may then have expired at any time during the outage.
+        from_snapshot is true if the targets are missing from a complete list.
+        Their entries may then have expired at any time during the outage.
         """
-        target = self.targets.get(target_id)
-        if target is None:
-            return
+        removed = [
+            self.targets[target_id]
+            for target_id in target_ids
+            if target_id in self.targets
+        ]
+        if now >= self.grace_until and self._have_lapsed(removed):
+            # An outage of the source that this node has not noticed.
+            self.grace_until = now + MAX_REMOVAL_DELAY_SECONDS
+        for target in removed:
+            self._remove_or_hold(target, now, from_snapshot)
+
+    def _have_lapsed(self, removed: list[models.Target]) -> bool:
+        """Return whether entries were lost rather than targets stopped.
+
+        Several targets of a service that have not announced their end, and
+        most of it, do not leave at the same moment.
+        """
+        lost = collections.Counter(
+            target.service for target in removed if not target.draining
+        )
+        return any(
+            count > 1 and 2 * count > len(self.by_service.get(service, ()))
+            for service, count in lost.items()
+        )
+
+    def _remove_or_hold(
+        self, target: models.Target, now: float, from_snapshot: bool
+    ) -> None:
+        target_id = target.id
         if now >= self.grace_until or target.draining:
             self._remove(target_id)
             return
@@ -110,8 +140,8 @@
     ) -> None:
         """Replace the targets by a complete list from the source."""
         self.revision = max(self.revision, revision)
-        for target_id in self.targets.keys() - targets.keys():
-            self.remove_target(target_id, now, from_snapshot=True)
+        missing = sorted(self.targets.keys() - targets.keys())
+        self.remove_targets(missing, now, from_snapshot=True)
         for target in targets.values():
             self.put_target(target)
 
