Let two nodes of a region read and the contacts of its groups pass it on

Change: the hosts of a region form groups, one for each large domain and one for all small ones. Two of the groups' contacts read; they notify their group and the contacts of the others, and a contact that does not read passes the notice on to its group. A relayed notice is not relayed again. A contact that hears of no contact with the source for 1.2 s reads itself, further nodes become contacts after 1.5 s, as before one more every 0.3 s.

Measured: in the simulation of a region, 36 nodes in three domains have two readers (six before); with up to four of the first nodes cut off from the source and from their peers, a removal reaches all others within the bound.

--- a/src/hickorythread/mesh/exchange.py
+++ b/src/hickorythread/mesh/exchange.py
@@ -18,10 +18,12 @@
     )
 
 
-def make_notice(view: mesh_view.View, fresh: bool) -> messages.ViewNotice:
+def make_notice(
+    view: mesh_view.View, fresh: bool, relayed: bool = False
+) -> messages.ViewNotice:
     """Build a notice that announces the versions of a view."""
     return messages.ViewNotice(
-        view.version, view.revision, view.operator_revision, fresh
+        view.version, view.revision, view.operator_revision, fresh, relayed
     )
 
 
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -163,22 +163,37 @@
 
 
 class ViewNotice(messages.Message):
-    """Tell the nodes of a failure domain which view a reader holds.
+    """Tell nearby nodes which view the sender holds.
 
-    fresh is True if the source has just responded to the sender.
+    fresh is True if the source has just responded to the sender, or to a node
+    that has told it so; relayed is True in the second case.
     """
 
-    __slots__ = ("version", "revision", "operator_revision", "fresh")
+    __slots__ = (
+        "version",
+        "revision",
+        "operator_revision",
+        "fresh",
+        "relayed",
+    )
     code = 45
-    types = (int, int, int, bool)
+    types = (int, int, int, bool, bool)
+    # Nodes of earlier releases relay no notices.
+    defaults = (False,)
 
     def __init__(
-        self, version: int, revision: int, operator_revision: int, fresh: bool
+        self,
+        version: int,
+        revision: int,
+        operator_revision: int,
+        fresh: bool,
+        relayed: bool = False,
     ) -> None:
         self.version = version
         self.revision = revision
         self.operator_revision = operator_revision
         self.fresh = fresh
+        self.relayed = relayed
 
 
 class Crashed(messages.Message):
--- a/src/hickorythread/mesh/readership.py
+++ b/src/hickorythread/mesh/readership.py
@@ -1,42 +1,56 @@
-"""Selects the nodes that read the source for those near them."""
+"""Selects the nodes that read the source for those near them.
+
+The hosts of a region form groups: each large failure domain is one, and its
+small ones form another. The first nodes of each group are its contacts. Two
+of the contacts of a region read the source and notify the others, and every
+contact notifies its group. So the calls to the source grow with the regions,
+and the messages of a node with its group and the number of groups.
+"""
 
 from collections.abc import Collection
 from collections.abc import Mapping
 import zlib
 
 READER_COUNT = 2
+CONTACT_COUNT = 2
 # The small failure domains of a region form one group, so that the number of
-# readers does not grow with that of the domains. A larger domain is a group.
+# groups does not grow with that of the domains.
 MAX_SMALL_DOMAIN_HOSTS = 6
 # In a group of small domains of up to this size every node reads for itself.
 MAX_INDEPENDENT_HOSTS = 12
-# If no reader reports contact with the source for STALE_SECONDS, further nodes
-# start to read, one more every EXTRA_READER_SECONDS.
-STALE_SECONDS = 1.3
-EXTRA_READER_SECONDS = 0.3
-MAX_EXTRA_READERS = 4
+# A contact that hears of no contact with the source for READER_STALE_SECONDS
+# reads itself. If no contact of a group reports it for STALE_SECONDS, further
+# nodes become contacts, one more every EXTRA_CONTACT_SECONDS.
+READER_STALE_SECONDS = 1.2
+STALE_SECONDS = 1.5
+EXTRA_CONTACT_SECONDS = 0.3
+MAX_EXTRA_CONTACTS = 4
 # After the start, streams to the readers take some time to open. Until then
 # every higher-ranked host counts as connected.
 STARTUP_SECONDS = 0.6
 
 
 class ReaderSelection:
-    """Rank the hosts of one group; the highest-ranked ones read.
+    """Rank the hosts of a region; the highest-ranked ones read for the others.
 
-    domains holds the failure domains of the group.
-    A reader notifies the others after each response of the source. If it
-    loses contact with the source, the notices stop, and the next hosts in
-    rank read until a higher-ranked node has contact again.
+    A reader notifies others after each response of the source. If it loses
+    contact with the source, the notices stop, and other contacts read until a
+    higher-ranked node has contact again. domains holds the failure domains of
+    the own group, ranked its hosts and other_groups those of each other one.
     """
 
     def __init__(self, host_id: str, failure_domain: str, now: float) -> None:
         self.host_id = host_id
         self.failure_domain = failure_domain
-        self.domains = frozenset((failure_domain,))
         self.started_at = now
-        self.contact_at = now
-        self.ranked: list[str] = [host_id]
+        # When a higher-ranked node of the region, and one of the group, last
+        # reported contact with the source.
+        self.reader_heard_at = now
+        self.contact_heard_at = now
+        self.domains = frozenset((failure_domain,))
         self.domain_size = 1
+        self.ranked: list[str] = [host_id]
+        self.other_groups: list[list[str]] = []
 
     @property
     def shared(self) -> bool:
@@ -48,44 +62,84 @@
 
     def set_hosts(self, hosts_by_domain: Mapping[str, set[str]]) -> None:
         """Replace the hosts of the region by their failure domains."""
-        hosts = {self.host_id, *hosts_by_domain.get(self.failure_domain, ())}
-        domains = {self.failure_domain}
-        self.domain_size = len(hosts)
-        if self.domain_size <= MAX_SMALL_DOMAIN_HOSTS:
-            for name, others in hosts_by_domain.items():
-                if len(others) <= MAX_SMALL_DOMAIN_HOSTS:
-                    domains.add(name)
-                    hosts |= others
-        self.domains = frozenset(domains)
-        self.ranked = sorted(hosts, key=_rank_key)
+        own = {self.host_id, *hosts_by_domain.get(self.failure_domain, ())}
+        by_domain = {**hosts_by_domain, self.failure_domain: own}
+        self.domain_size = len(own)
+        small = {
+            name
+            for name, hosts in by_domain.items()
+            if len(hosts) <= MAX_SMALL_DOMAIN_HOSTS
+        }
+        groups = [
+            frozenset((name,)) for name in by_domain if name not in small
+        ]
+        if small:
+            groups.append(frozenset(small))
+        self.other_groups = []
+        for domains in groups:
+            hosts = set().union(*(by_domain[name] for name in domains))
+            ranked = sorted(hosts, key=_rank_key)
+            if self.failure_domain in domains:
+                self.domains = domains
+                self.ranked = ranked
+            elif len(hosts) > MAX_INDEPENDENT_HOSTS or domains - small:
+                self.other_groups.append(ranked)
 
     def record_contact(self, host_id: str, now: float) -> None:
-        """Record that the source has just responded to a node."""
-        if host_id in self.ranked[: self.ranked.index(self.host_id)]:
-            self.contact_at = now
+        """Record that a node reports contact with the source."""
+        if _rank_key(host_id) >= _rank_key(self.host_id):
+            return
+        self.reader_heard_at = now
+        if host_id in self.ranked:
+            self.contact_heard_at = now
+
+    def is_contact(self, connected: Collection[str], now: float) -> bool:
+        """Return whether this node passes on notices within its group."""
+        if not self.shared:
+            return False
+        rank = self._count_higher(self.ranked, connected, now)
+        overdue = now - self.contact_heard_at - STALE_SECONDS
+        if overdue <= 0:
+            return rank < CONTACT_COUNT
+        extra_contacts = min(
+            MAX_EXTRA_CONTACTS, 1 + int(overdue / EXTRA_CONTACT_SECONDS)
+        )
+        return rank < CONTACT_COUNT + extra_contacts
 
     def is_reader(self, connected: Collection[str], now: float) -> bool:
         """Return whether this node reads the source itself."""
         if not self.shared:
             return True
-        rank = self._rank(connected, now)
-        overdue = now - self.contact_at - STALE_SECONDS
-        if overdue <= 0:
-            return rank < READER_COUNT
-        extra_readers = min(
-            MAX_EXTRA_READERS, 1 + int(overdue / EXTRA_READER_SECONDS)
-        )
-        return rank < READER_COUNT + extra_readers
+        if not self.is_contact(connected, now):
+            return False
+        if now - self.reader_heard_at > READER_STALE_SECONDS:
+            return True
+        rank = self._count_higher(self.ranked, connected, now)
+        for ranked in self.other_groups:
+            higher = self._count_higher(ranked, connected, now)
+            rank += min(CONTACT_COUNT, higher)
+        return rank < READER_COUNT
+
+    def other_contacts(self, connected: Collection[str]) -> list[str]:
+        """Return the contacts of the other groups of the region."""
+        contacts = []
+        for ranked in self.other_groups:
+            reachable = [host for host in ranked if host in connected]
+            contacts += reachable[:CONTACT_COUNT]
+        return contacts
 
-    def _rank(self, connected: Collection[str], now: float) -> int:
-        """Return how many higher-ranked hosts are connected."""
+    def _count_higher(
+        self, ranked: list[str], connected: Collection[str], now: float
+    ) -> int:
+        """Return how many connected hosts of a group rank above this node."""
         is_starting = now - self.started_at < STARTUP_SECONDS
-        higher_ranked = self.ranked[: self.ranked.index(self.host_id)]
-        return sum(
-            1
-            for host_id in higher_ranked
-            if is_starting or host_id in connected
-        )
+        own_key = _rank_key(self.host_id)
+        count = 0
+        for host_id in ranked:
+            if _rank_key(host_id) >= own_key:
+                break
+            count += is_starting or host_id in connected
+        return count
 
 
 def _rank_key(host_id: str) -> tuple[int, str]:
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -20,6 +20,8 @@
 REQUEST_INTERVAL_SECONDS = 0.5
 # Minimum interval for requests triggered by a notice or a new stream.
 MIN_REQUEST_INTERVAL_SECONDS = 0.1
+# Both readers of a region notify each contact after each response.
+MIN_RELAY_INTERVAL_SECONDS = 0.3
 # How long the readers of the local failure domain have to fetch a version
 # before this node requests it from the peer that announced it.
 MAX_LAG_SECONDS = 0.5
@@ -98,6 +100,9 @@
         # Whether the source listed no targets when this node started.
         self.is_new_mesh = False
         self.failing_topics: set[str] = set()
+        # Whether a notice waits for the view that it announces, to be relayed.
+        self.relay_waits = False
+        self.relayed_at = 0.0
         self.newer_version: tuple[str, int, float] | None = None
         self.requested_at = 0.0
 
@@ -284,9 +289,15 @@
         if notice.fresh:
             self.source_contact_at = now
             self.reader_selection.record_contact(host_id, now)
+        # A relayed notice is not relayed again: contacts that hear only of
+        # each other must not take that for contact with the source.
+        relays = notice.fresh and not notice.relayed
         if exchange.is_newer(self.view, notice):
+            self.relay_waits |= relays
             if now - self.requested_at >= MIN_REQUEST_INTERVAL_SECONDS:
                 self._request_view(host_id, now)
+        elif relays:
+            self._relay_notice(now)
 
     def version_seen(self, host_id: str, version: int) -> None:
         """Record the version a peer holds if it is newer than this node's."""
@@ -324,6 +335,10 @@
                 origin=host_id,
             )
         self._view_updated(previously_evacuated)
+        if self.relay_waits:
+            self.relay_waits = False
+            self.relayed_at = 0.0
+            self._relay_notice(self.clock.monotonic())
         return None
 
     def _request_view(self, host_id: str, now: float) -> None:
@@ -336,10 +351,30 @@
         return MAX_LAG_SECONDS
 
     def _send_notices(self, fresh: bool) -> None:
-        """Announce the view to the connected nodes of the group."""
+        """Announce the view to the group and to the contacts of others."""
         if not self.reader_selection.shared:
             return
         notice = exchange.make_notice(self.view, fresh)
+        self._notify_group(notice)
+        for host_id in self.reader_selection.other_contacts(
+            self.peers.by_host
+        ):
+            self.peers.send(host_id, notice)
+
+    def _relay_notice(self, now: float) -> None:
+        """Pass on a reader's contact with the source within the group."""
+        connected = self.peers.by_host
+        selection = self.reader_selection
+        if now - self.relayed_at < MIN_RELAY_INTERVAL_SECONDS:
+            return
+        if selection.is_contact(connected, now) and not selection.is_reader(
+            connected, now
+        ):
+            self.relayed_at = now
+            self._notify_group(exchange.make_notice(self.view, True, True))
+
+    def _notify_group(self, notice: messages.ViewNotice) -> None:
+        """Send a notice to the connected nodes of the group."""
         # A send that fails removes the host from the map.
         for host_id, domain in list(self.peer_domains.items()):
             if domain in self.reader_selection.domains:
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -68,7 +68,7 @@
     for member in domain.readers()[:2]:
         member.is_isolated = True
     domain.source.put_version(2)
-    domain.run_for(MAX_UPDATE_SECONDS + 2 * readership.EXTRA_READER_SECONDS)
+    domain.run_for(MAX_UPDATE_SECONDS + 2 * readership.EXTRA_CONTACT_SECONDS)
     assert domain.lowest_version() == 2
 
 
@@ -83,6 +83,53 @@
     assert len(large.ranked) == 20 and len(small.ranked) == 4
 
 
+LARGE_DOMAINS = ("launceston", "devonport", "burnie")
+
+
+def test_two_nodes_read_for_a_region_of_large_domains():
+    """Guards against readers whose number grows with the failure domains."""
+    domain = make_domain(36, LARGE_DOMAINS)
+    assert count_readers(domain) == readership.READER_COUNT
+    domain.source.calls = 0
+    domain.run_for(10.0)
+    # Each reader makes one call every 0.7 s and another one every 4 s.
+    assert domain.source.calls <= 2 * (10 / 0.7 + 10 / 4 + 2)
+    domain.source.put_version(2)
+    domain.run_for(MAX_UPDATE_SECONDS)
+    assert domain.lowest_version() == 2
+
+
+@pytest.mark.parametrize("cut", [1, 2, 3, 4])
+@pytest.mark.parametrize("names", [LARGE_DOMAINS, SMALL_DOMAINS])
+def test_silent_contacts_are_replaced_within_the_bound(names, cut):
+    """Guards against a removal that a group hears of too late.
+
+    The first nodes in rank neither reach the source nor tell anybody.
+    """
+    domain = make_domain(36 if names is LARGE_DOMAINS else 24, names)
+    members = sorted(
+        domain.members.values(),
+        key=lambda member: readership._rank_key(member.host_id),
+    )
+    silenced = members[:cut]
+    for member in silenced:
+        member.is_isolated = member.is_silent = True
+    domain.source.change(interfaces.RemoveTarget("t9"))
+    domain.run_for(MAX_UPDATE_SECONDS + 0.3 * max(0, cut - 2))
+    for member in members[cut:]:
+        assert "t9" not in member.view.targets
+
+
+def test_contacts_that_hear_only_of_each_other_ask_the_source():
+    """Guards against notices that circulate after the readers are gone."""
+    domain = make_domain(36, LARGE_DOMAINS)
+    domain.source.unavailable = True
+    domain.run_for(4.0)
+    for member in domain.members.values():
+        heard_at = member.synchronizer.source_contact_at
+        assert domain.now - heard_at > 3.0
+
+
 def test_every_node_of_a_small_domain_reads():
     domain = make_domain(readership.MAX_SMALL_DOMAIN_HOSTS)
     assert all(
@@ -164,7 +211,7 @@
     for member in domain.readers()[:cut]:
         member.is_isolated = True
     domain.source.put_version(2)
-    domain.run_for(MAX_UPDATE_SECONDS + readership.EXTRA_READER_SECONDS * cut)
+    domain.run_for(MAX_UPDATE_SECONDS + readership.EXTRA_CONTACT_SECONDS * cut)
     updated = [
         member
         for member in domain.members.values()
@@ -201,7 +248,7 @@
     domain.run_for(2.0)
     domain.source.calls = 0
     domain.run_for(5.0)
-    max_readers = readership.READER_COUNT + readership.MAX_EXTRA_READERS
+    max_readers = readership.CONTACT_COUNT + readership.MAX_EXTRA_CONTACTS
     # Backoff with jitter allows at most two calls per second for each of the
     # two topics; the limit is 2.5.
     assert domain.source.calls <= max_readers * 2 * 2.5 * 5
--- a/tests/view_domain.py
+++ b/tests/view_domain.py
@@ -81,6 +81,8 @@
         self.domain = domain
         self.host_id = f"10.0.0.{number}"
         self.is_isolated = False
+        # Loses all messages from and to other members.
+        self.is_silent = False
         self.by_host = {}
         self.versions = []
         self.synchronizer = synchronizer.Synchronizer(
@@ -111,6 +113,8 @@
             self.synchronizer.peer_connected(peer)
 
     def send(self, host_id, message):
+        if self.is_silent or self.domain.members[host_id].is_silent:
+            return
         self.domain.schedule(
             MESSAGE_DELAY_SECONDS,
             self.domain.members[host_id].receive,
