Look at near targets first and keep the streams of open calls

Placement scored every target of a service for each request. Targets are now looked at by the cost of their distance and the search ends once no farther one can be better; the choice is the same (test against a search of all 680 targets), and on an idle service only the own failure domain is scored.

A stream to a silent host was closed 3.6 s after its last message, which gave up the writes that a frozen host still had at work. It is kept as long as the host has open calls, which end by their deadlines.

A second copy of a response of the store, late on a connection in use again, could bring a removed target back: events up to the known revision and older lists are ignored, and each topic has connections of its own.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -295,6 +295,7 @@
 
     def view_changed(self) -> None:
         """Apply the current view."""
+        self.placement.targets_changed()
         self.update_retry_budget()
         configuration = self.view.configuration
         if configuration is None:
--- a/src/hickorythread/mesh/links.py
+++ b/src/hickorythread/mesh/links.py
@@ -58,7 +58,9 @@
 
         oldest_calls maps each host to the send time of its oldest call
         without a response. The result pairs a host with True if it has
-        become silent, and with False if it is not silent any more.
+        become silent, and with False if it is not silent any more. The stream
+        to a silent host is kept as long as it has open calls: the host may
+        still be at work on them and respond.
         """
         changed: list[tuple[str, bool]] = []
         for host_id in list(self.silent):
@@ -70,7 +72,10 @@
                 self.silent.discard(host_id)
                 self.probed_at.pop(host_id, None)
                 changed.append((host_id, False))
-            elif now - self.probed_at[host_id] > CLOSE_TIMEOUT_SECONDS:
+            elif (
+                host_id not in oldest_calls
+                and now - self.probed_at[host_id] > CLOSE_TIMEOUT_SECONDS
+            ):
                 stream.close("no response")
         for host_id, sent_at in oldest_calls.items():
             if host_id not in self.silent:
--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -126,6 +126,13 @@
         self.random_source = random_source
         self.peers: dict[str, PeerState] = {}
         self.connected: set[str] = {host_id}
+        self.tiers: dict[
+            int,
+            tuple[
+                Collection[models.Target],
+                list[tuple[float, list[models.Target]]],
+            ],
+        ] = {}
 
     def peer(self, host_id: str) -> PeerState:
         """Return the state of a host, created if there is none."""
@@ -145,17 +152,43 @@
         """Return the target with the lowest score for a route, or None."""
         best: models.Target | None = None
         best_score = math.inf
-        for target in targets:
-            if not self.usable(target, route, evacuated, now):
-                continue
-            if target.host_id in excluded:
-                continue
-            score = self.score(target, route, now)
-            score += JITTER * self.random_source.random()
-            if score < best_score:
-                best, best_score = target, score
+        for distance, tier in self._tiers(targets):
+            if best_score <= distance:
+                # No score is below the cost of the distance.
+                break
+            for target in tier:
+                if not self.usable(target, route, evacuated, now):
+                    continue
+                if target.host_id in excluded:
+                    continue
+                score = distance + self.score(target, route, now)
+                score += JITTER * self.random_source.random()
+                if score < best_score:
+                    best, best_score = target, score
         return best
 
+    def _tiers(
+        self, targets: Collection[models.Target]
+    ) -> list[tuple[float, list[models.Target]]]:
+        """Return targets by the cost of their distance, the nearest first.
+
+        The result is kept until targets_changed().
+        """
+        known = self.tiers.get(id(targets))
+        if known is not None:
+            return known[1]
+        by_distance: dict[float, list[models.Target]] = {}
+        for target in targets:
+            by_distance.setdefault(self.distance(target), []).append(target)
+        tiers = sorted(by_distance.items())
+        # The reference to the targets keeps their id from being used again.
+        self.tiers[id(targets)] = targets, tiers
+        return tiers
+
+    def targets_changed(self) -> None:
+        """Drop the order of the targets after a change of the view."""
+        self.tiers.clear()
+
     def usable(
         self,
         target: models.Target,
@@ -213,13 +246,13 @@
     def score(
         self, target: models.Target, route: models.Route, now: float
     ) -> float:
-        """Return the cost of sending a request to a target."""
+        """Return the cost of the state of a target, without its distance."""
         peer = self.peer(target.host_id)
         limit = peer.limit or target.slots
         load = (peer.expected_load(target.slots, now) + 1) / limit
         failures = FAILURE_WEIGHT * peer.failure_rate(now)
         latency_penalty = SLOW_WEIGHT * peer.excess_latency(route, now)
-        return load + failures + latency_penalty + self.distance(target)
+        return load + failures + latency_penalty
 
     def distance(self, target: models.Target) -> float:
         """Return the cost of the distance to a target."""
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -138,7 +138,13 @@
     def replace_targets(
         self, targets: dict[str, models.Target], revision: int, now: float
     ) -> None:
-        """Replace the targets by a complete list from the source."""
+        """Replace the targets by a complete list from the source.
+
+        A list that is older than what is known, such as one that arrives
+        twice, changes nothing.
+        """
+        if revision < self.revision:
+            return
         self.revision = max(self.revision, revision)
         missing = sorted(self.targets.keys() - targets.keys())
         self.remove_targets(missing, now, from_snapshot=True)
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -49,7 +49,12 @@
     def use_address(self, address: str) -> None:
         """Switch to another address of the store."""
         host, port = utils.split_address(address)
-        self.session = http_client.Session(host, port, keepalive.OPTIONS)
+        # A second copy of a response may arrive when the connection is in use
+        # again. It is then one of the same topic, and an older one.
+        self.sessions = {
+            topic: http_client.Session(host, port, keepalive.OPTIONS)
+            for topic in PREFIXES
+        }
 
     def read(self, topic: str) -> interfaces.ReadResult:
         """Return everything under a topic.
@@ -62,7 +67,7 @@
         query = {"prefix": PREFIXES[topic]}
         try:
             for _ in range(MAX_PAGES):
-                page = self._get("kv-range", query, 0.0)
+                page = self._get(topic, "kv-range", query)
                 if revision < 0:
                     revision = page["store_revision"]
                 items = page["items"]
@@ -86,20 +91,28 @@
             "wait_ms": str(int(wait * 1000)),
         }
         try:
-            result = self._get("kv-watch", query, wait)
-            items = _latest_events(result["events"])
+            result = self._get(topic, "kv-watch", query, wait)
+            # Older events belong to a response that has arrived twice.
+            events = [item for item in result["events"] if item["rev"] > after]
+            items = _latest_events(events)
             changes = self._decode_items(items)
             revision = result["store_revision"]
         except _StoreError as error:
             return _to_result(error)
         except (KeyError, TypeError) as error:
             return _to_result(_StoreError("malformed", repr(error)))
-        superseded = len(result["events"]) - len(items)
+        superseded = len(events) - len(items)
         return expression.Ok(
             interfaces.ChangeBatch(changes, max(after, revision), superseded)
         )
 
-    def _get(self, endpoint: str, query: dict[str, str], wait: float) -> Any:
+    def _get(
+        self,
+        topic: str,
+        endpoint: str,
+        query: dict[str, str],
+        wait: float = 0.0,
+    ) -> Any:
         """Return the document of a response that may take wait seconds."""
         url = f"/-/{endpoint}?{parse.urlencode(query)}"
         margin = WATCH_MARGIN_SECONDS if wait else READ_TIMEOUT_SECONDS
@@ -110,7 +123,7 @@
             MAX_RESPONSE_BYTES,
         )
         try:
-            status, data = self.session.get(url, limits)
+            status, data = self.sessions[topic].get(url, limits)
         except (
             urllib3.exceptions.HTTPError,
             http.client.HTTPException,
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -9,6 +9,7 @@
 from hickorythread.mesh import admission
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
+from hickorythread.mesh import links
 from hickorythread.mesh import placement
 from hickorythread.mesh import routing
 from hickorythread.mesh import watcher
@@ -369,3 +370,93 @@
     mesh_view = build.make_view(1)
     mesh_view.put_target(build.make_target(1, id="new", started_at_ms=9))
     assert [item.id for item in mesh_view.by_service["spec-desk"]] == ["new"]
+
+
+def make_large_placement(seed):
+    """Return a placement with 680 targets of random load in 14 domains."""
+    source = random.Random(seed)
+    domains = {f"d{number}": f"r{number % 5}" for number in range(14)}
+    targets = [
+        build.make_target(number, failure_domain=f"d{number % 14}")
+        for number in range(1, 681)
+    ]
+    chooser = placement.Placement("10.0.0.1", "d1", domains, source)
+    chooser.connected = {target.host_id for target in targets}
+    for target in targets:
+        load = [source.randrange(5), 0, 4]
+        chooser.peer(target.host_id).update_load(load, 0.0)
+    return chooser, targets
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_choice_is_that_of_a_search_of_all_targets(monkeypatch, seed):
+    """Guards against a shortcut that misses a better target."""
+    monkeypatch.setattr(placement, "JITTER", 0.0)
+    chooser, targets = make_large_placement(seed)
+    route = build.make_route()
+    for _ in range(60):
+        best = min(
+            chooser.distance(target) + chooser.score(target, route, 0.0)
+            for target in targets
+        )
+        chosen = chooser.choose(targets, route, frozenset(), (), 0.0)
+        score = chooser.score(chosen, route, 0.0)
+        assert chooser.distance(chosen) + score == best
+        chooser.peer(chosen.host_id).sent_since_report += 1
+
+
+def test_choice_looks_at_near_targets_first(monkeypatch):
+    """Guards against work that grows with the targets of a service."""
+    chooser, targets = make_large_placement(1)
+    scored = []
+    score = chooser.score
+    monkeypatch.setattr(
+        chooser,
+        "score",
+        lambda target, *arguments: (
+            scored.append(target) or score(target, *arguments)
+        ),
+    )
+    chooser.choose(targets, build.make_route(), frozenset(), (), 0.0)
+    assert 0 < len(scored) <= 680 / 14 + 1
+
+
+class SilentStream:
+    """A stream whose peer does not respond."""
+
+    def __init__(self):
+        self.heard_at = 0.0
+        self.reasons = []
+
+    def send(self, message):
+        return True
+
+    def close(self, reason):
+        self.reasons.append(reason)
+
+
+class SingleStreamManager:
+    def __init__(self, stream):
+        self.stream = stream
+        self.addresses = {}
+
+    def find(self, host_id):
+        return self.stream
+
+
+def test_stream_to_a_silent_host_is_kept_for_its_open_calls():
+    """Guards against giving up work that a silent host still does.
+
+    A frozen host responds after it wakes, on the stream that carried the call.
+    """
+    stream = SilentStream()
+    peer_links = links.PeerLinks("10.0.0.1", 7600, SingleStreamManager(stream))
+    calls = {"10.0.0.2": 0.0}
+    changes = []
+    for step in range(60):
+        changes += peer_links.check_liveness(calls, step * 0.1)
+    assert changes == [("10.0.0.2", True)] and not stream.reasons
+    peer_links.check_liveness({}, 6.0)
+    assert stream.reasons == ["no response"]
+    stream.heard_at = 6.1
+    assert peer_links.check_liveness({}, 6.2) == [("10.0.0.2", False)]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Tests of the platform adapter: headers, documents and the store."""
 
+import base64
 import json
 import pathlib
 import queue
@@ -10,6 +11,7 @@
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import settings
+from hickorythread.mesh import view as mesh_view
 from hickorythread.platform import documents
 from hickorythread.platform import headers
 from hickorythread.platform import store
@@ -211,7 +213,8 @@
         standin.error_status = status
         assert client.read(interfaces.OPERATOR).error.kind == kind
     standin.close()
-    client.session.close()
+    for session in client.sessions.values():
+        session.close()
     assert client.read(interfaces.OPERATOR).error.kind == "unreachable"
 
 
@@ -371,3 +374,51 @@
     client = make_client(standin)
     revision = client.read(interfaces.TARGETS).ok.revision
     assert client.watch(interfaces.TARGETS, revision, 0.5).ok.changes == []
+
+
+def json_response(document):
+    return servers.response(json.dumps(document).encode())
+
+
+def make_item(number, revision):
+    data = base64.b64encode(json.dumps(make_entry_document()).encode())
+    return {
+        "key": f"servers/i-{number}",
+        "value": data.decode(),
+        "rev": revision,
+    }
+
+
+def test_second_copy_of_a_response_brings_no_target_back():
+    """Guards against a target that left and is used again.
+
+    The store answers a watch, then repeats that answer on the connection that
+    already carries the next watch.
+    """
+    old = json_response({"events": [make_item(1, 5)], "store_revision": 5})
+    removal = {"key": "servers/i-1", "rev": 6, "deleted": True}
+    removed = json_response({"events": [removal], "store_revision": 6})
+    script = servers.respond(old, removed, old)
+    with servers.ScriptedServer(script) as server:
+        client = store.StoreClient(server.address, build.REGIONS)
+        view = mesh_view.View()
+        revision = 4
+        for _ in range(3):
+            batch = client.watch(interfaces.TARGETS, revision, 0.1).ok
+            for change in batch.changes:
+                if isinstance(change, interfaces.PutTarget):
+                    view.put_target(change.target)
+                else:
+                    view.remove_targets([change.target_id], 0.0)
+            revision = batch.revision
+        assert not view.targets and revision == 6
+
+
+def test_older_list_brings_no_target_back():
+    """Guards against a stale list that arrives after a newer one."""
+    view = build.make_view(targets=3)
+    two = {f"t{number}": build.make_target(number) for number in (1, 2)}
+    view.replace_targets(two, 9, 0.0)
+    three = two | {"t3": build.make_target(3)}
+    view.replace_targets(three, 8, 0.0)
+    assert sorted(view.targets) == ["t1", "t2"]
