Derive the readers' pace from the bound on removals; start with two calls

Cause: a reader's watch returned every 0.7 s on every site, though a removal may take 3 s on the larger ones, and each node of a new mesh asked the store once for each wave of registering targets.

Change: the setting removal_ms gives the bound, the watch, the wait of the contacts and that of the others are parts of it (as before at 2 s). A node that finds no target on its first call asks again once, after the start of the mesh.

Measured: in the simulation 36 nodes of a new mesh make at most two calls each and those of the readers; before the change the test fails.

--- a/src/hickorythread/mesh/readership.py
+++ b/src/hickorythread/mesh/readership.py
@@ -18,11 +18,16 @@
 MAX_SMALL_DOMAIN_HOSTS = 6
 # In a group of small domains of up to this size every node reads for itself.
 MAX_INDEPENDENT_HOSTS = 12
-# A contact that hears of no contact with the source for READER_STALE_SECONDS
-# reads itself. If no contact of a group reports it for STALE_SECONDS, further
-# nodes become contacts, one more every EXTRA_CONTACT_SECONDS.
-READER_STALE_SECONDS = 1.2
-STALE_SECONDS = 1.5
+# Parts of the time in which a removal must be in force. A contact that hears
+# of no contact with the source for the first one reads itself. If no contact
+# of a group reports it for the second one, further nodes become contacts, one
+# more every EXTRA_CONTACT_SECONDS.
+READER_STALE_SHARE = 0.6
+CONTACT_STALE_SHARE = 0.75
+# A watch of a reader returns after this part at the latest, as a sign of life.
+WATCH_SHARE = 0.35
+# Versions of the configuration must be in force as fast.
+MAX_REMOVAL_SECONDS = 3.0
 EXTRA_CONTACT_SECONDS = 0.3
 MAX_EXTRA_CONTACTS = 4
 # After the start, streams to the readers take some time to open. Until then
@@ -39,7 +44,17 @@
     the own group, ranked its hosts and other_groups those of each other one.
     """
 
-    def __init__(self, host_id: str, failure_domain: str, now: float) -> None:
+    def __init__(
+        self,
+        host_id: str,
+        failure_domain: str,
+        removal_seconds: float,
+        now: float,
+    ) -> None:
+        removal_seconds = min(removal_seconds, MAX_REMOVAL_SECONDS)
+        self.reader_stale_seconds = READER_STALE_SHARE * removal_seconds
+        self.contact_stale_seconds = CONTACT_STALE_SHARE * removal_seconds
+        self.watch_seconds = WATCH_SHARE * removal_seconds
         self.host_id = host_id
         self.failure_domain = failure_domain
         self.started_at = now
@@ -98,7 +113,7 @@
         if not self.shared:
             return False
         rank = self._count_higher(self.ranked, connected, now)
-        overdue = now - self.contact_heard_at - STALE_SECONDS
+        overdue = now - self.contact_heard_at - self.contact_stale_seconds
         if overdue <= 0:
             return rank < CONTACT_COUNT
         extra_contacts = min(
@@ -112,7 +127,7 @@
             return True
         if not self.is_contact(connected, now):
             return False
-        if now - self.reader_heard_at > READER_STALE_SECONDS:
+        if now - self.reader_heard_at > self.reader_stale_seconds:
             return True
         rank = self._count_higher(self.ranked, connected, now)
         for ranked in self.other_groups:
--- a/src/hickorythread/mesh/settings.py
+++ b/src/hickorythread/mesh/settings.py
@@ -16,7 +16,8 @@
     their regions, and addresses have the form IP:port. The whole mesh may
     retry the fraction retry_share of the requests for a service, plus
     retry_slack requests. A cold target may receive, in any second,
-    warmup_rate_factor times its warm-up rate, plus warmup_burst requests.
+    warmup_rate_factor times its warm-up rate, plus warmup_burst requests. The
+    removal of a target must be in force within removal_ms.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "retry_slack",
         "warmup_rate_factor",
         "warmup_burst",
+        "removal_ms",
         "log_level",
     )
 
@@ -56,6 +58,7 @@
         retry_slack: float,
         warmup_rate_factor: float = 1.0,
         warmup_burst: float = 2.0,
+        removal_ms: float = 2000.0,
         name: str = "",
         log_level: str = "info",
     ) -> None:
@@ -75,6 +78,7 @@
         self.retry_slack = retry_slack
         self.warmup_rate_factor = warmup_rate_factor
         self.warmup_burst = warmup_burst
+        self.removal_ms = removal_ms
         self.log_level = log_level
 
     @property
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -27,12 +27,7 @@
 MAX_LAG_SECONDS = 0.5
 SHARED_MAX_LAG_SECONDS = 1.2
 WATCH_TIMEOUT_SECONDS = 25.0
-# Followers treat each response to a reader's watch as proof that the reader
-# is in contact with the source, so shared readers use short watches.
-SHARED_WATCH_TIMEOUT_SECONDS = {
-    interfaces.TARGETS: 0.7,
-    interfaces.OPERATOR: 4.0,
-}
+SHARED_OPERATOR_WATCH_SECONDS = 4.0
 # Short watches after the start, while the hosts of the failure domain are not
 # known yet.
 STARTUP_WATCH_TIMEOUT_SECONDS = 4.0
@@ -41,7 +36,6 @@
 BATCH_DELAY_SECONDS = 0.25
 # When the whole mesh starts, its targets register within a few seconds. Nodes
 # wait for them, because the readers are chosen among the registered hosts.
-NEW_MESH_BATCH_DELAY_SECONDS = 2.0
 NEW_MESH_SECONDS = 3.0
 
 ViewChanged = Callable[[frozenset[str]], None]
@@ -88,7 +82,10 @@
         # reader.
         self.source_contact_at = now
         self.reader_selection = readership.ReaderSelection(
-            settings.host_id, settings.failure_domain, now
+            settings.host_id,
+            settings.failure_domain,
+            settings.removal_ms / 1000,
+            now,
         )
         # Failure domains of the connected nodes, whether or not their targets
         # are registered.
@@ -126,15 +123,18 @@
     def watch_timeout(self, topic: str) -> float:
         """Return how many seconds a watch waits for changes."""
         if self.reader_selection.shared:
-            return SHARED_WATCH_TIMEOUT_SECONDS[topic]
+            if topic == interfaces.TARGETS:
+                return self.reader_selection.watch_seconds
+            return SHARED_OPERATOR_WATCH_SECONDS
         if self.clock.monotonic() - self.started_at < STARTUP_SECONDS:
             return STARTUP_WATCH_TIMEOUT_SECONDS
         return WATCH_TIMEOUT_SECONDS
 
     def batch_delay(self) -> float:
         """Return how many seconds to batch changes before the next call."""
-        if self._is_mesh_starting(self.clock.monotonic()):
-            return NEW_MESH_BATCH_DELAY_SECONDS
+        now = self.clock.monotonic()
+        if self._is_mesh_starting(now):
+            return self.started_at + NEW_MESH_SECONDS - now
         return BATCH_DELAY_SECONDS
 
     def apply_batch(
--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -120,7 +120,7 @@
         if complete:
             if self.coalesced_version in (None, version):
                 self.coalesced_version = None
-                return 0.0
+                return 0.0 if batch.changes else self.handler.batch_delay()
         elif not batch.superseded or version is None:
             return self.handler.batch_delay() if batch.changes else 0.0
         self.coalesced_version = version
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -399,3 +399,22 @@
     assert len(replies) == len(packed) == 1
     view.put_configuration(build.make_configuration(3))
     assert exchange.make_reply(view, request, 0.0).configuration not in replies
+
+
+def test_start_of_a_mesh_takes_two_calls_of_each_node():
+    """Guards against calls that grow with the nodes times the arrivals.
+
+    The targets register one after the other while all nodes start.
+    """
+    domain = view_domain.Domain(36, LARGE_DOMAINS)
+    targets = domain.source.targets
+    domain.source.targets = {}
+    domain.source.history.clear()
+    for target in targets.values():
+        domain.run_for(0.06)
+        domain.source.change(interfaces.PutTarget(target))
+    domain.run_for(1.5)
+    assert domain.lowest_version() == 1
+    readers = readership.READER_COUNT + 2 * readership.MAX_EXTRA_CONTACTS
+    assert domain.source.calls <= 2 * len(domain.members) + 6 * readers
+    assert all(len(member.view.targets) == 36 for member in domain.readers())
