--- a/bench/run.py
+++ b/bench/run.py
@@ -25,6 +25,7 @@
         ),
     ),
     "traffic": ("bench.traffic_bench", ("measure_all",)),
+    "pipeline": ("bench.pipeline_bench", ("measure",)),
     "process": ("bench.process_bench", ("measure",)),
     "path": ("bench.path_bench", ("measure",)),
 }
