--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -2,6 +2,7 @@
 
 import http.client
 import http.server
+import itertools
 import json
 import os
 import pathlib
@@ -16,6 +17,7 @@
 
 from tests import store_standin
 from tests import test_platform
+from tests import test_server
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOSTS = {"127.0.0.2": "launceston", "127.0.0.3": "hobart"}
@@ -404,3 +406,75 @@
     }
     assert len(executed_paths) > 4
     assert executed_paths <= answered_paths
+
+
+def send_ahead(address, prefix, process, answered):
+    """Send requests in groups of five until the process ends.
+
+    answered maps each path to the status and the body of its response.
+    """
+    for attempt in itertools.count():
+        paths = [f"{prefix}-{attempt}-{number}" for number in range(5)]
+        try:
+            caller = test_server.Caller(address)
+        except OSError:
+            if process.poll() is not None:
+                return
+            time.sleep(0.02)
+            continue
+        with caller.sock:
+            try:
+                caller.send(*map(make_get, paths))
+                for path in paths:
+                    status, headers, body = caller.response()
+                    answered[path] = status, body
+                    if headers.get("connection") == "close":
+                        break
+            except (OSError, AssertionError):
+                # The connection has ended before the next response.
+                pass
+
+
+def make_get(path):
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: a.example\r\n"
+        f"Hickorythread-Attempt-Id: {path}\r\n"
+        "Hickorythread-Deadline-Ms: 20000\r\n\r\n"
+    )
+
+
+def test_requests_sent_ahead_are_answered_in_a_stop(mesh):
+    """Guards against requests cut off behind a response that closes."""
+    if mesh.processes[SOUTH].poll() is not None:
+        mesh.start(SOUTH)
+    mesh.wait_until(lambda: mesh.is_ready(SOUTH))
+    mesh.wait_until(lambda: mesh.is_usable(SOUTH))
+    for target in mesh.targets.values():
+        target.delay_seconds = 0.2
+    answered = {}
+    process = mesh.processes[SOUTH]
+    address = (SOUTH, mesh.ports["request"])
+    threads = [
+        threading.Thread(
+            target=send_ahead,
+            args=(address, f"/two/ahead-{number}", process, answered),
+        )
+        for number in range(3)
+    ]
+    for thread in threads:
+        thread.start()
+    mesh.wait_until(lambda: len(answered) >= 10)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(WAIT_SECONDS) == 0
+    for thread in threads:
+        thread.join(WAIT_SECONDS)
+    executed = {
+        path
+        for target in mesh.targets.values()
+        for path, _, _ in target.runs
+        if path.startswith("/two/ahead-")
+    }
+    assert len(executed) > 10
+    assert executed <= answered.keys()
+    for path, (status, body) in answered.items():
+        assert status != 200 or path.encode() in body
