--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -535,6 +535,7 @@
             self.entry,
             self.execution,
             self.synchronizer,
+            self.backlog,
             self.clock.monotonic(),
         )
 
--- a/src/hickorythread/mesh/telemetry.py
+++ b/src/hickorythread/mesh/telemetry.py
@@ -1,6 +1,7 @@
 """Metrics of one sidecar, with a bounded number of label values."""
 
 from hickorythread import metrics
+from hickorythread import pipelining
 from hickorythread.mesh import entry
 from hickorythread.mesh import events
 from hickorythread.mesh import execution
@@ -51,9 +52,12 @@
         entry_plane: entry.EntryPlane,
         execution_plane: execution.ExecutionPlane,
         node_synchronizer: synchronizer.Synchronizer,
+        backlog: pipelining.Backlog,
         now: float,
     ) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        self.metrics.set("open_requests", backlog.requests)
+        self.metrics.set("held_response_bytes", backlog.held_bytes)
         self._set_target_gauges(execution_plane)
         self._set_view_gauges(node_synchronizer, now)
         for service, tokens in entry_plane.budget.tokens.items():
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -48,7 +48,8 @@
 def test_node_loads_no_resolver():
     """Guards against spending 12 MB on a resolver that no node uses."""
     loaded = modules_loaded_by(
-        "from hickorythread import cli\ncli._patch_standard_library(locks=True)"
+        "from hickorythread import cli\n"
+        "cli._patch_standard_library(locks=True)"
     )
     assert "eventlet" in loaded
     assert "dns" not in loaded
