Split reading requests from serving a connection

The check of a count of digits stood twice and stands once. No change of behaviour; the tests of both pass.

--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -2,9 +2,9 @@
 
 The request loop of eventlet takes about as long as the rest of a short
 request: it parses heads with the email package, and formats and writes the
-parts of each response separately. This handler parses heads strictly, builds
-only the part of the WSGI environment that the applications use and sends each
-response with one call.
+parts of each response separately. This handler builds only the part of the
+WSGI environment that the applications use, sends each response with one call
+and runs the requests that a caller sends ahead side by side.
 """
 
 from collections.abc import Callable
@@ -25,138 +25,25 @@
 
 from hickorythread import connection_reader
 from hickorythread import http_client
+from hickorythread import http_requests
 from hickorythread import logs
 from hickorythread import pipelining
 
-MAX_HEADERS = 100
-MAX_HEAD_BYTES = 16 * 1024
-MAX_CHUNK_LINE_BYTES = 1024
 MAX_DISCARDED_BYTES = 2 * 1024 * 1024
 # How long a connection is kept after its last response, so that the caller can
 # read it.
 LINGER_SECONDS = 1.0
 IDLE_SECONDS = 75.0
 REQUEST_SECONDS = 30.0
-MAX_CACHED_HEADER_NAMES = 1024
-MAX_COUNT_DIGITS = 15
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Returned by an application that responds through its exchange later.
 DEFERRED: list[bytes] = []
 
-_TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
-_REQUEST_LINE = re.compile(
-    rb"([A-Z]{1,16}) ([\x21-\x7e]{1,8192}) HTTP/1\.([01])\r?\n\Z"
-)
-_INVALID_HEADER_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _INVALID_RESPONSE_VALUE = re.compile(r"[\x00\r\n]")
-_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00\r\n]*)?\r?\n\Z")
-_HEADER_NAMES: dict[bytes, tuple[str, str]] = {}
-_LINE_ENDINGS = (b"\r\n", b"\n")
 _HEAD_ERROR_REASONS = {
     408: "Request Timeout",
     431: "Request Header Fields Too Large",
 }
-_SINGLETON_HEADERS = (
-    "HTTP_IDEMPOTENCY_KEY",
-    "HTTP_X_DEADLINE_MS",
-    "HTTP_X_TENANT",
-    "HTTP_X_RETRY_ATTEMPT",
-    "HTTP_TRANSFER_ENCODING",
-    "HTTP_HOST",
-    "CONTENT_LENGTH",
-    "CONTENT_TYPE",
-)
-
-
-class HeadError(Exception):
-    """Report a request head that is invalid or too large."""
-
-    def __init__(self, status: int, message: str) -> None:
-        super().__init__(message)
-        self.status = status
-        self.message = message
-
-
-class BodyError(Exception):
-    """Report that the framing of a request body is invalid."""
-
-
-class Body:
-    """Read the body of one request.
-
-    The first read sends 100 Continue to a caller that expects it.
-    """
-
-    __slots__ = ("protocol", "remaining", "chunked", "expects_continue")
-
-    def __init__(
-        self,
-        protocol: "HttpProtocol",
-        length: int,
-        chunked: bool,
-        expects_continue: bool,
-    ) -> None:
-        self.protocol = protocol
-        self.remaining = length
-        self.chunked = chunked
-        self.expects_continue = expects_continue
-
-    @property
-    def complete(self) -> bool:
-        """Return whether the body has been read to its end."""
-        return not (self.chunked or self.remaining)
-
-    def read(self, limit: int) -> bytes:
-        """Return up to limit bytes, fewer only at the end of the body.
-
-        Raises BodyError if the chunks are malformed or truncated.
-        """
-        if self.expects_continue:
-            self.expects_continue = False
-            self.protocol.send_continue()
-        if self.chunked:
-            return self._read_chunks(limit)
-        data: bytes = self.protocol.rfile.read(min(limit, self.remaining))
-        self.remaining -= len(data)
-        return data
-
-    def _read_chunks(self, limit: int) -> bytes:
-        parts: list[bytes] = []
-        while limit > 0:
-            if not self.remaining:
-                self.remaining = self._read_chunk_size()
-                if not self.remaining:
-                    self._skip_trailers()
-                    self.chunked = False
-                    break
-            size = min(limit, self.remaining)
-            part = self.protocol.rfile.read(size)
-            if len(part) < size:
-                raise BodyError("body is cut short")
-            parts.append(part)
-            limit -= size
-            self.remaining -= size
-            if not self.remaining and self._read_line() not in _LINE_ENDINGS:
-                raise BodyError("chunk is longer than announced")
-        return b"".join(parts)
-
-    def _read_chunk_size(self) -> int:
-        match = _CHUNK_SIZE.match(self._read_line())
-        if match is None:
-            raise BodyError("malformed chunk size")
-        return int(match[1], 16)
-
-    def _skip_trailers(self) -> None:
-        for _ in range(MAX_HEADERS):
-            if self._read_line() in _LINE_ENDINGS:
-                return
-        raise BodyError("too many trailers")
-
-    def _read_line(self) -> bytes:
-        line: bytes = self.protocol.rfile.readline(MAX_CHUNK_LINE_BYTES + 1)
-        if not line.endswith(b"\n"):
-            raise BodyError("line in the body is cut short or too long")
-        return line
 
 
 class ConnectionOptions:
@@ -198,11 +85,15 @@
         "on_abandoned",
     )
 
-    def __init__(self, protocol: "HttpProtocol", body: Body) -> None:
+    def __init__(
+        self, protocol: "HttpProtocol", head: http_requests.Head
+    ) -> None:
         self.protocol = protocol
-        self.head_only = protocol.command == "HEAD"
-        self.keeps_http10 = protocol.request_version == "HTTP/1.0"
-        self.body = body
+        self.head_only = head.method == "HEAD"
+        self.keeps_http10 = head.is_http10
+        self.body = http_requests.Body(
+            protocol.rfile, head, protocol.send_continue
+        )
         self.status = ""
         self.headers: list[tuple[str, str]] = []
         self.content = b""
@@ -276,13 +167,6 @@
     that no request behind it has been handed to the application.
     """
 
-    # These attributes belong to the request that was read last.
-    command: str
-    path: str
-    request_version: str
-    raw_headers: list[tuple[str, str]]
-    fields: dict[str, str]
-
     def __init__(
         self, options: ConnectionOptions, conn_state: list[Any], server: Any
     ) -> None:
@@ -315,7 +199,6 @@
     def handle(self) -> None:
         """Serve requests until either side closes the connection."""
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.close_connection = False
         try:
             while self._may_continue() and self._serve_request():
                 pass
@@ -413,19 +296,19 @@
         try:
             if not self._wait_for_request():
                 return False
-            error = self._read_head()
+            head = self._read_head()
         finally:
             self.receiving = self.head_begun = False
         if self.closing:
             # Counts as not read: the response before it closes.
             return False
-        if error is not None:
-            self._reject(error)
+        if isinstance(head, http_requests.HeadError):
+            self._reject(head)
             return False
-        exchange = Exchange(self, self._make_body())
+        exchange = Exchange(self, head)
         self.responses.add(exchange)
-        self.closing = self.close_connection
-        self._run_application(exchange)
+        self.closing = head.closes
+        self._run_application(exchange, head)
         return not self.closing
 
     def _wait_for_request(self) -> bool:
@@ -443,55 +326,47 @@
             self._abandon()
         return received
 
-    def _read_head(self) -> HeadError | None:
-        """Read the head of a request; return what is wrong with it."""
+    def _read_head(self) -> http_requests.Head | http_requests.HeadError:
+        """Read the head of a request, or return what is wrong with it."""
         self.head_begun = True
         if self.conn_state[2] == wsgi.STATE_IDLE:
             self.conn_state[2] = wsgi.STATE_REQUEST
         self.rfile.limit(self.options.request_seconds)
         try:
-            self.raw_requestline = self.rfile.readline(MAX_HEAD_BYTES + 1)
-            self._parse_request_line()
-            self._parse_headers()
-            self._check_framing()
-        except HeadError as error:
+            return http_requests.read_head(self.rfile)
+        except http_requests.HeadError as error:
             return error
         except TimeoutError:
-            return HeadError(408, "request head took too long")
-        return None
-
-    def _make_body(self) -> "Body":
-        return Body(
-            self,
-            int(self.fields.get("CONTENT_LENGTH") or 0),
-            "HTTP_TRANSFER_ENCODING" in self.fields,
-            self.fields.get("HTTP_EXPECT", "").lower() == "100-continue",
-        )
+            return http_requests.HeadError(408, "request head took too long")
 
-    def _make_environ(self, exchange: Exchange) -> dict[str, Any]:
-        """Build the WSGI environment of the request that was read last."""
+    def _make_environ(
+        self, exchange: Exchange, head: http_requests.Head
+    ) -> dict[str, Any]:
+        """Build the WSGI environment of a request."""
         environ: dict[str, Any] = self.server.get_environ()
-        path, _, query = self.path.partition("?")
-        environ.update(self.fields)
-        environ["REQUEST_METHOD"] = self.command
+        path, _, query = head.target.partition("?")
+        environ.update(head.fields)
+        environ["REQUEST_METHOD"] = head.method
         environ["SCRIPT_NAME"] = ""
         environ["RAW_PATH_INFO"] = path
-        environ["hickorythread.path"] = self.path
+        environ["hickorythread.path"] = head.target
         environ["PATH_INFO"] = (
             parse.unquote(path, "latin1") if "%" in path else path
         )
         environ["QUERY_STRING"] = query
-        environ["SERVER_PROTOCOL"] = self.request_version
-        environ["headers_raw"] = self.raw_headers
+        environ["SERVER_PROTOCOL"] = head.version
+        environ["headers_raw"] = head.headers
         environ["wsgi.input"] = exchange.body
         environ["hickorythread.socket"] = self.connection
         environ["hickorythread.exchange"] = exchange
         return environ
 
-    def _run_application(self, exchange: Exchange) -> None:
+    def _run_application(
+        self, exchange: Exchange, head: http_requests.Head
+    ) -> None:
         try:
             parts: Iterable[bytes] = self.server.app(
-                self._make_environ(exchange), exchange.start_response
+                self._make_environ(exchange, head), exchange.start_response
             )
         except (OSError, EOFError):
             raise
@@ -562,78 +437,10 @@
             while bytes_left > 0 and (data := self.connection.recv(65536)):
                 bytes_left -= len(data)
 
-    def _parse_request_line(self) -> None:
-        if len(self.raw_requestline) > MAX_HEAD_BYTES:
-            raise HeadError(431, "request head exceeds 16 KiB")
-        match = _REQUEST_LINE.match(self.raw_requestline)
-        if match is None:
-            raise HeadError(400, "malformed request line")
-        method, target, minor = match.groups()
-        self.command = method.decode("ascii")
-        self.path = target.decode("ascii")
-        if not self.path.startswith("/"):
-            raise HeadError(400, "the request target must be a path")
-        self.request_version = f"HTTP/1.{minor.decode()}"
-        self.requestline = f"{self.command} {self.path}"
-
-    def _parse_headers(self) -> None:
-        self.fields = {}
-        self.raw_headers = []
-        remaining_bytes = MAX_HEAD_BYTES - len(self.raw_requestline)
-        while True:
-            line = self.rfile.readline(remaining_bytes + 1)
-            remaining_bytes -= len(line)
-            if remaining_bytes < 0:
-                raise HeadError(431, "request head exceeds 16 KiB")
-            if line in _LINE_ENDINGS:
-                return
-            if len(self.raw_headers) == MAX_HEADERS:
-                raise HeadError(431, f"more than {MAX_HEADERS} headers")
-            if not line.endswith(b"\n"):
-                raise HeadError(400, "request head is cut short")
-            self._add_header(line)
-
-    def _add_header(self, line: bytes) -> None:
-        raw_name, colon, raw_value = line.partition(b":")
-        cached = _HEADER_NAMES.get(raw_name)
-        if not colon or (cached is None and not _TOKEN.match(raw_name)):
-            raise HeadError(400, "malformed header line")
-        raw_value = raw_value.strip(b" \t\r\n")
-        if _INVALID_HEADER_VALUE.search(raw_value):
-            raise HeadError(400, "control character in a header")
-        name, key = cached or _cache_header_name(raw_name)
-        value = raw_value.decode("latin1")
-        previous = self.fields.get(key)
-        if previous is None:
-            self.fields[key] = value
-        elif key in _SINGLETON_HEADERS:
-            raise HeadError(400, f"header {name} appears twice")
-        else:
-            self.fields[key] = f"{previous}, {value}"
-        self.raw_headers.append((name, value))
-
-    def _check_framing(self) -> None:
-        """Reject heads whose body length could be interpreted in two ways."""
-        encoding = self.fields.get("HTTP_TRANSFER_ENCODING")
-        length = self.fields.get("CONTENT_LENGTH")
-        if encoding is not None and encoding.lower() != "chunked":
-            raise HeadError(400, "unsupported Transfer-Encoding")
-        if encoding is not None and length is not None:
-            raise HeadError(400, "both Content-Length and Transfer-Encoding")
-        if length is not None and not _is_count(length):
-            raise HeadError(400, "Content-Length is not a count")
-        tokens = self.fields.get("HTTP_CONNECTION", "").lower()
-        if self.request_version == "HTTP/1.0":
-            self.close_connection = "keep-alive" not in tokens
-        else:
-            self.close_connection = "close" in tokens
-
-    def _reject(self, error: HeadError) -> None:
+    def _reject(self, error: http_requests.HeadError) -> None:
         """Respond to a request that cannot be read; it is the last one."""
         self.closing = True
-        self.command = "GET"
-        self.request_version = "HTTP/1.1"
-        exchange = Exchange(self, Body(self, 0, False, False))
+        exchange = Exchange(self, http_requests.Head("GET", "/", "HTTP/1.1"))
         body = f'{{"reason": "head", "message": "{error.message}"}}'.encode()
         headers = [
             ("Content-Type", "application/json"),
@@ -657,27 +464,10 @@
     return bool(data)
 
 
-def _is_count(text: str) -> bool:
-    """Return whether a text is a number of at most 15 ASCII digits."""
-    return text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
-
-
 def _reject_write(data: bytes) -> None:
     raise NotImplementedError("write() is not supported, return the body")
 
 
-def _cache_header_name(raw_name: bytes) -> tuple[str, str]:
-    """Return a header name and its WSGI key; caches them."""
-    name = raw_name.decode("ascii")
-    key = name.upper().replace("-", "_")
-    if key not in ("CONTENT_LENGTH", "CONTENT_TYPE"):
-        key = f"HTTP_{key}"
-    # Callers choose the names, so the size of the cache is limited.
-    if len(_HEADER_NAMES) < MAX_CACHED_HEADER_NAMES:
-        _HEADER_NAMES[raw_name] = name, key
-    return name, key
-
-
 @functools.lru_cache(maxsize=1)
 def _format_date(seconds: int) -> str:
     return email.utils.formatdate(seconds, usegmt=True)
--- /dev/null
+++ b/src/hickorythread/http_requests.py
@@ -0,0 +1,254 @@
+"""Heads and bodies of HTTP/1.1 requests, parsed strictly."""
+
+from collections.abc import Callable
+import re
+
+from hickorythread import connection_reader
+
+MAX_HEADERS = 100
+MAX_HEAD_BYTES = 16 * 1024
+MAX_CHUNK_LINE_BYTES = 1024
+MAX_CACHED_HEADER_NAMES = 1024
+MAX_COUNT_DIGITS = 15
+
+_TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
+_REQUEST_LINE = re.compile(
+    rb"([A-Z]{1,16}) ([\x21-\x7e]{1,8192}) HTTP/1\.([01])\r?\n\Z"
+)
+_INVALID_HEADER_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00\r\n]*)?\r?\n\Z")
+_HEADER_NAMES: dict[bytes, tuple[str, str]] = {}
+_LINE_ENDINGS = (b"\r\n", b"\n")
+_SINGLETON_HEADERS = (
+    "HTTP_IDEMPOTENCY_KEY",
+    "HTTP_X_DEADLINE_MS",
+    "HTTP_X_TENANT",
+    "HTTP_X_RETRY_ATTEMPT",
+    "HTTP_TRANSFER_ENCODING",
+    "HTTP_HOST",
+    "CONTENT_LENGTH",
+    "CONTENT_TYPE",
+)
+
+
+class HeadError(Exception):
+    """Report a request head that is invalid or too large."""
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.message = message
+
+
+class BodyError(Exception):
+    """Report that the framing of a request body is invalid."""
+
+
+class Head:
+    """Hold the head of one request.
+
+    target is the path with the query, headers the names and values as they
+    came, and fields the values by their WSGI keys.
+    """
+
+    __slots__ = ("method", "target", "version", "headers", "fields")
+
+    def __init__(self, method: str, target: str, version: str) -> None:
+        self.method = method
+        self.target = target
+        self.version = version
+        self.headers: list[tuple[str, str]] = []
+        self.fields: dict[str, str] = {}
+
+    @property
+    def is_http10(self) -> bool:
+        """Return whether a connection ends unless the caller keeps it."""
+        return self.version == "HTTP/1.0"
+
+    @property
+    def closes(self) -> bool:
+        """Return whether the caller wants the connection closed."""
+        tokens = self.fields.get("HTTP_CONNECTION", "").lower()
+        if self.is_http10:
+            return "keep-alive" not in tokens
+        return "close" in tokens
+
+    @property
+    def content_length(self) -> int:
+        """Return the length of the body that the head states, else 0."""
+        return parse_count(self.fields.get("CONTENT_LENGTH", "")) or 0
+
+    @property
+    def chunked(self) -> bool:
+        """Return whether the body comes in chunks."""
+        return "HTTP_TRANSFER_ENCODING" in self.fields
+
+    @property
+    def expects_continue(self) -> bool:
+        """Return whether the caller waits before it sends the body."""
+        return self.fields.get("HTTP_EXPECT", "").lower() == "100-continue"
+
+    def add_line(self, line: bytes) -> None:
+        """Add a header line; raise HeadError if it is malformed."""
+        raw_name, colon, raw_value = line.partition(b":")
+        cached = _HEADER_NAMES.get(raw_name)
+        if not colon or (cached is None and not _TOKEN.match(raw_name)):
+            raise HeadError(400, "malformed header line")
+        raw_value = raw_value.strip(b" \t\r\n")
+        if _INVALID_HEADER_VALUE.search(raw_value):
+            raise HeadError(400, "control character in a header")
+        name, key = cached or _cache_header_name(raw_name)
+        value = raw_value.decode("latin1")
+        previous = self.fields.get(key)
+        if previous is None:
+            self.fields[key] = value
+        elif key in _SINGLETON_HEADERS:
+            raise HeadError(400, f"header {name} appears twice")
+        else:
+            self.fields[key] = f"{previous}, {value}"
+        self.headers.append((name, value))
+
+    def check_framing(self) -> None:
+        """Reject a head whose body length could be interpreted in two ways."""
+        encoding = self.fields.get("HTTP_TRANSFER_ENCODING")
+        length = self.fields.get("CONTENT_LENGTH")
+        if encoding is not None and encoding.lower() != "chunked":
+            raise HeadError(400, "unsupported Transfer-Encoding")
+        if encoding is not None and length is not None:
+            raise HeadError(400, "both Content-Length and Transfer-Encoding")
+        if length is not None and parse_count(length) is None:
+            raise HeadError(400, "Content-Length is not a count")
+
+
+def read_head(reader: connection_reader.ConnectionReader) -> Head:
+    """Read the head of a request; raise HeadError if it is invalid."""
+    line = reader.readline(MAX_HEAD_BYTES + 1)
+    head = _parse_request_line(line)
+    remaining_bytes = MAX_HEAD_BYTES - len(line)
+    while True:
+        line = reader.readline(remaining_bytes + 1)
+        remaining_bytes -= len(line)
+        if remaining_bytes < 0:
+            raise HeadError(431, "request head exceeds 16 KiB")
+        if line in _LINE_ENDINGS:
+            break
+        if len(head.headers) == MAX_HEADERS:
+            raise HeadError(431, f"more than {MAX_HEADERS} headers")
+        if not line.endswith(b"\n"):
+            raise HeadError(400, "request head is cut short")
+        head.add_line(line)
+    head.check_framing()
+    return head
+
+
+def _parse_request_line(line: bytes) -> Head:
+    if len(line) > MAX_HEAD_BYTES:
+        raise HeadError(431, "request head exceeds 16 KiB")
+    match = _REQUEST_LINE.match(line)
+    if match is None:
+        raise HeadError(400, "malformed request line")
+    method, target, minor = match.groups()
+    if not target.startswith(b"/"):
+        raise HeadError(400, "the request target must be a path")
+    return Head(
+        method.decode("ascii"),
+        target.decode("ascii"),
+        f"HTTP/1.{minor.decode()}",
+    )
+
+
+def _cache_header_name(raw_name: bytes) -> tuple[str, str]:
+    """Return a header name and its WSGI key; caches them."""
+    name = raw_name.decode("ascii")
+    key = name.upper().replace("-", "_")
+    if key not in ("CONTENT_LENGTH", "CONTENT_TYPE"):
+        key = f"HTTP_{key}"
+    # Callers choose the names, so the size of the cache is limited.
+    if len(_HEADER_NAMES) < MAX_CACHED_HEADER_NAMES:
+        _HEADER_NAMES[raw_name] = name, key
+    return name, key
+
+
+def parse_count(text: str) -> int | None:
+    """Return the value of a text of ASCII digits, None if it is another."""
+    is_count = text.isascii() and text.isdigit()
+    return int(text) if is_count and len(text) <= MAX_COUNT_DIGITS else None
+
+
+class Body:
+    """Read the body of one request.
+
+    send_continue is called before the first read if the caller waits for it.
+    """
+
+    __slots__ = ("reader", "remaining", "chunked", "send_continue")
+
+    def __init__(
+        self,
+        reader: connection_reader.ConnectionReader,
+        head: Head,
+        send_continue: Callable[[], None],
+    ) -> None:
+        self.reader = reader
+        self.remaining = head.content_length
+        self.chunked = head.chunked
+        self.send_continue: Callable[[], None] | None = None
+        if head.expects_continue:
+            self.send_continue = send_continue
+
+    @property
+    def complete(self) -> bool:
+        """Return whether the body has been read to its end."""
+        return not (self.chunked or self.remaining)
+
+    def read(self, limit: int) -> bytes:
+        """Return up to limit bytes, fewer only at the end of the body.
+
+        Raises BodyError if the chunks are malformed or truncated.
+        """
+        if self.send_continue is not None:
+            self.send_continue()
+            self.send_continue = None
+        if self.chunked:
+            return self._read_chunks(limit)
+        data = self.reader.read(min(limit, self.remaining))
+        self.remaining -= len(data)
+        return data
+
+    def _read_chunks(self, limit: int) -> bytes:
+        parts: list[bytes] = []
+        while limit > 0:
+            if not self.remaining:
+                self.remaining = self._read_chunk_size()
+                if not self.remaining:
+                    self._skip_trailers()
+                    self.chunked = False
+                    break
+            size = min(limit, self.remaining)
+            part = self.reader.read(size)
+            if len(part) < size:
+                raise BodyError("body is cut short")
+            parts.append(part)
+            limit -= size
+            self.remaining -= size
+            if not self.remaining and self._read_line() not in _LINE_ENDINGS:
+                raise BodyError("chunk is longer than announced")
+        return b"".join(parts)
+
+    def _read_chunk_size(self) -> int:
+        match = _CHUNK_SIZE.match(self._read_line())
+        if match is None:
+            raise BodyError("malformed chunk size")
+        return int(match[1], 16)
+
+    def _skip_trailers(self) -> None:
+        for _ in range(MAX_HEADERS):
+            if self._read_line() in _LINE_ENDINGS:
+                return
+        raise BodyError("too many trailers")
+
+    def _read_line(self) -> bytes:
+        line = self.reader.readline(MAX_CHUNK_LINE_BYTES + 1)
+        if not line.endswith(b"\n"):
+            raise BodyError("line in the body is cut short or too long")
+        return line
--- a/src/hickorythread/server.py
+++ b/src/hickorythread/server.py
@@ -15,12 +15,12 @@
 from hickorythread import events
 from hickorythread import exceptions
 from hickorythread import http_protocol
+from hickorythread import http_requests
 from hickorythread import messages
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_CONNECTIONS = 4096
 MAX_DEADLINE_MS = 600_000
-MAX_COUNT_DIGITS = 15
 CALLER_CHECK_SECONDS = 0.1
 STATUS_WAIT_SECONDS = 0.4
 HOP_BY_HOP_HEADERS = frozenset(
@@ -243,10 +243,10 @@
             return b""
         try:
             body = _read_in_time(environ, limit + 1)
-        except http_protocol.BodyError as error:
+        except http_requests.BodyError as error:
             raise BadRequest(400, "chunked", str(error)) from error
     else:
-        length = _parse_count(text)
+        length = http_requests.parse_count(text)
         if length is None:
             raise BadRequest(400, "length", "Content-Length is not a count")
         if length > limit:
@@ -267,7 +267,7 @@
     text = environ.get(name)
     if text is None:
         return None
-    value = _parse_count(text)
+    value = http_requests.parse_count(text)
     if value is None or value > limit:
         header = name.removeprefix("HTTP_").replace("_", "-").title()
         message = f"{header} must be a whole number from 0 to {limit}"
@@ -275,12 +275,6 @@
     return value
 
 
-def _parse_count(text: str) -> int | None:
-    """Return the value of a text of ASCII digits, None if it is another."""
-    is_count = text.isascii() and text.isdigit()
-    return int(text) if is_count and len(text) <= MAX_COUNT_DIGITS else None
-
-
 def _read_in_time(environ: Environ, size: int) -> bytes:
     """Return up to size bytes of the body; BadRequest if it is too slow."""
     try:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -14,6 +14,7 @@
 from hickorythread import events
 from hickorythread import exceptions
 from hickorythread import http_protocol
+from hickorythread import http_requests
 from hickorythread import messages
 from hickorythread import node
 from hickorythread import server
@@ -196,9 +197,9 @@
 @pytest.mark.parametrize(
     "data",
     [
-        "GET /" + "a" * http_protocol.MAX_HEAD_BYTES + " HTTP/1.1\r\n\r\n",
-        head("X-A: " + "a" * http_protocol.MAX_HEAD_BYTES),
-        head(*["X-A: 1"] * (http_protocol.MAX_HEADERS + 1)),
+        "GET /" + "a" * http_requests.MAX_HEAD_BYTES + " HTTP/1.1\r\n\r\n",
+        head("X-A: " + "a" * http_requests.MAX_HEAD_BYTES),
+        head(*["X-A: 1"] * (http_requests.MAX_HEADERS + 1)),
     ],
     ids=["huge line", "huge header", "too many headers"],
 )
