Move the state of a pending request out of the entry plane

The request, its counts and the message that sends it to a target are a module of their own. No change of behaviour.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -11,8 +11,8 @@
 from hickorythread.mesh import events
 from hickorythread.mesh import execution
 from hickorythread.mesh import messages
-from hickorythread.mesh import models
 from hickorythread.mesh import origins
+from hickorythread.mesh import pending_request
 from hickorythread.mesh import placement
 from hickorythread.mesh import routing
 from hickorythread.mesh import settings as mesh_settings
@@ -40,62 +40,6 @@
 Actions = list[events.Record]
 
 
-class PendingRequest:
-    """Hold a request until its response is known.
-
-    runs counts the attempts that may have run at a target, refusals those
-    that did not and rejections those of them that a target refused.
-    failure_response is the error response of a target, which the client gets
-    if no retry succeeds.
-    """
-
-    __slots__ = (
-        "request",
-        "route",
-        "service",
-        "deadline",
-        "call_id",
-        "host_id",
-        "target_id",
-        "sent_at",
-        "runs",
-        "refusals",
-        "rejections",
-        "overload_refusals",
-        "tried_hosts",
-        "retry_after",
-        "failure_response",
-    )
-
-    def __init__(
-        self,
-        request: events.Request,
-        route: models.Route,
-        service: str,
-        deadline: float,
-    ) -> None:
-        self.request = request
-        self.route = route
-        self.service = service
-        self.deadline = deadline
-        self.call_id = 0
-        self.host_id = ""
-        self.target_id = ""
-        self.sent_at = 0.0
-        self.runs = 0
-        self.refusals = 0
-        self.rejections = 0
-        self.overload_refusals = 0
-        self.tried_hosts: set[str] = set()
-        self.retry_after = math.inf
-        self.failure_response: events.Response | None = None
-
-    @property
-    def sent_to_target(self) -> bool:
-        """Return whether the request may have reached a target before."""
-        return bool(self.runs or self.rejections)
-
-
 class EntryPlane:
     """Send each request to a target and its response to the client."""
 
@@ -119,8 +63,8 @@
         self.budget = retries.RetryBudget(initial=INITIAL_RETRIES)
         self.origins = origins.CallOrigins()
         self.router: routing.Router | None = None
-        self.pending: dict[int, PendingRequest] = {}
-        self.by_number: dict[int, PendingRequest] = {}
+        self.pending: dict[int, pending_request.PendingRequest] = {}
+        self.by_number: dict[int, pending_request.PendingRequest] = {}
         self.timers: list[tuple[float, int]] = []
         self.update_retry_budget()
         # A restarted process must not reuse the call ids of its predecessor.
@@ -150,7 +94,9 @@
             remaining = min(remaining, request.remaining)
         deadline = request.received_at + remaining
         service = self.splitter.choose_service(route)
-        pending = PendingRequest(request, route, service, deadline)
+        pending = pending_request.PendingRequest(
+            request, route, service, deadline
+        )
         if now >= deadline:
             return self._respond(pending, 504, "deadline")
         probability = self.origins.retry_probability(
@@ -311,7 +257,9 @@
             self.origins.keep_only(names)
             self.budget.keep_only(set(configuration.services))
 
-    def _dispatch(self, pending: PendingRequest, now: float) -> Actions:
+    def _dispatch(
+        self, pending: pending_request.PendingRequest, now: float
+    ) -> Actions:
         target = self.placement.choose(
             self.view.by_service.get(pending.service, ()),
             pending.route,
@@ -337,11 +285,11 @@
         heapq.heappush(self.timers, (due, call_id))
         if len(self.timers) > 2 * len(self.pending) + MAX_STALE_TIMERS:
             self._rebuild_timers()
-        message = self._make_forward(pending, now)
+        message = pending.make_forward(self.settings.service, now)
         return [events.Send(target.host_id, message)]
 
     def _log_no_target(
-        self, pending: PendingRequest, now: float
+        self, pending: pending_request.PendingRequest, now: float
     ) -> events.Log:
         """Return the line that says why no target may get a request."""
         targets = self.view.by_service.get(pending.service, ())
@@ -363,31 +311,11 @@
             held=len(self.view.pending_removals),
         )
 
-    def _make_forward(
-        self, pending: PendingRequest, now: float
-    ) -> messages.Forward:
-        request = pending.request
-        route = pending.route
-        objective = request.received_at + route.objective - now
-        return messages.Forward(
-            pending.call_id,
-            request.request_id,
-            pending.service,
-            route.name,
-            request.method,
-            request.path,
-            request.headers,
-            request.body,
-            float(pending.deadline - now),
-            float(objective),
-            route.idempotent,
-            route.priority,
-            self.settings.service,
-            pending.sent_to_target,
-        )
-
     def _handle_complete(
-        self, pending: PendingRequest, message: base_messages.Reply, now: float
+        self,
+        pending: pending_request.PendingRequest,
+        message: base_messages.Reply,
+        now: float,
     ) -> Actions:
         failed = message.status >= MIN_SERVER_ERROR_STATUS
         peer = self.placement.peer(pending.host_id)
@@ -405,7 +333,7 @@
 
     def _forward_response(
         self,
-        pending: PendingRequest,
+        pending: pending_request.PendingRequest,
         response: events.Response,
         reason: str,
         now: float,
@@ -427,7 +355,10 @@
         ]
 
     def _handle_not_run(
-        self, pending: PendingRequest, message: base_messages.Reply, now: float
+        self,
+        pending: pending_request.PendingRequest,
+        message: base_messages.Reply,
+        now: float,
     ) -> Actions:
         """Try another target, since this one has not run the request."""
         pending.refusals += 1
@@ -457,7 +388,11 @@
         return [log, *self._dispatch(pending, now)]
 
     def _handle_unknown_outcome(
-        self, pending: PendingRequest, status: int, reason: str, now: float
+        self,
+        pending: pending_request.PendingRequest,
+        status: int,
+        reason: str,
+        now: float,
     ) -> Actions:
         """Retry a request that may have run if it is idempotent."""
         pending.runs += 1
@@ -466,7 +401,9 @@
                 return self._retry(pending, reason, now)
         return self._respond(pending, status, reason, now=now)
 
-    def _may_retry(self, pending: PendingRequest, now: float) -> bool:
+    def _may_retry(
+        self, pending: pending_request.PendingRequest, now: float
+    ) -> bool:
         if not pending.route.idempotent:
             return False
         if pending.runs >= pending.route.attempts:
@@ -474,13 +411,13 @@
         return now + MIN_RETRY_SECONDS < pending.deadline
 
     def _retry(
-        self, pending: PendingRequest, reason: str, now: float
+        self, pending: pending_request.PendingRequest, reason: str, now: float
     ) -> Actions:
         log = self._log("repeated", pending, now, reason=reason)
         return [log, *self._dispatch(pending, now)]
 
     def _give_up(
-        self, pending: PendingRequest, reason: str, now: float
+        self, pending: pending_request.PendingRequest, reason: str, now: float
     ) -> Actions:
         """Respond with 503 if no target can have run the request, else 502."""
         if pending.runs:
@@ -492,7 +429,7 @@
 
     def _respond(
         self,
-        pending: PendingRequest,
+        pending: pending_request.PendingRequest,
         status: int,
         reason: str,
         retry_after: float = 0.0,
@@ -534,19 +471,19 @@
             ),
         ]
 
-    def _calls_to(self, host_id: str) -> list[PendingRequest]:
+    def _calls_to(self, host_id: str) -> list[pending_request.PendingRequest]:
         return [
             pending
             for pending in self.pending.values()
             if pending.host_id == host_id
         ]
 
-    def _close(self, pending: PendingRequest) -> None:
+    def _close(self, pending: pending_request.PendingRequest) -> None:
         del self.pending[pending.call_id]
         self.by_number.pop(pending.request.number, None)
         self.placement.peer(pending.host_id).open_calls -= 1
 
-    def _cancel(self, pending: PendingRequest) -> events.Send:
+    def _cancel(self, pending: pending_request.PendingRequest) -> events.Send:
         return events.Send(
             pending.host_id, base_messages.Cancel(pending.call_id)
         )
@@ -558,7 +495,11 @@
         heapq.heapify(self.timers)
 
     def _log(
-        self, event: str, pending: PendingRequest, now: float, **values: Any
+        self,
+        event: str,
+        pending: pending_request.PendingRequest,
+        now: float,
+        **values: Any,
     ) -> events.Log:
         peer = self.placement.peer(pending.host_id)
         return events.Log(
--- /dev/null
+++ b/src/hickorythread/mesh/pending_request.py
@@ -0,0 +1,87 @@
+"""A request of a client until its response is known."""
+
+import math
+
+from hickorythread.mesh import events
+from hickorythread.mesh import messages
+from hickorythread.mesh import models
+
+
+class PendingRequest:
+    """Hold a request until its response is known.
+
+    runs counts the attempts that may have run at a target, refusals those
+    that did not and rejections those of them that a target refused.
+    failure_response is the error response of a target, which the client gets
+    if no retry succeeds.
+    """
+
+    __slots__ = (
+        "request",
+        "route",
+        "service",
+        "deadline",
+        "call_id",
+        "host_id",
+        "target_id",
+        "sent_at",
+        "runs",
+        "refusals",
+        "rejections",
+        "overload_refusals",
+        "tried_hosts",
+        "retry_after",
+        "failure_response",
+    )
+
+    def __init__(
+        self,
+        request: events.Request,
+        route: models.Route,
+        service: str,
+        deadline: float,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.call_id = 0
+        self.host_id = ""
+        self.target_id = ""
+        self.sent_at = 0.0
+        self.runs = 0
+        self.refusals = 0
+        self.rejections = 0
+        self.overload_refusals = 0
+        self.tried_hosts: set[str] = set()
+        self.retry_after = math.inf
+        self.failure_response: events.Response | None = None
+
+    @property
+    def sent_to_target(self) -> bool:
+        """Return whether the request may have reached a target before."""
+        return bool(self.runs or self.rejections)
+
+    def make_forward(
+        self, caller_service: str, now: float
+    ) -> messages.Forward:
+        """Return the message that sends the request to its target."""
+        request = self.request
+        route = self.route
+        objective = request.received_at + route.objective - now
+        return messages.Forward(
+            self.call_id,
+            request.request_id,
+            self.service,
+            route.name,
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            float(self.deadline - now),
+            float(objective),
+            route.idempotent,
+            route.priority,
+            caller_service,
+            self.sent_to_target,
+        )
