Relay a notice only while it is fresh; count ranks once

A contact that was told of a newer view relayed the notice when the view came, however late, which could stand for contact with a source that is away. It is relayed within 0.5 s now (test_notice_whose_view_comes_too_late_is_not_relayed).

--- a/src/hickorythread/mesh/readership.py
+++ b/src/hickorythread/mesh/readership.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Collection
 from collections.abc import Mapping
+import itertools
 import zlib
 
 READER_COUNT = 2
@@ -30,6 +31,7 @@
 MAX_REMOVAL_SECONDS = 3.0
 EXTRA_CONTACT_SECONDS = 0.3
 MAX_EXTRA_CONTACTS = 4
+MAX_RANK = CONTACT_COUNT + MAX_EXTRA_CONTACTS
 # After the start, streams to the readers take some time to open. Until then
 # every higher-ranked host counts as connected.
 STARTUP_SECONDS = 0.6
@@ -66,6 +68,9 @@
         self.domain_size = 1
         self.ranked: list[str] = [host_id]
         self.other_groups: list[list[str]] = []
+        # The hosts that rank above this node, in its group and in the others.
+        self.higher: list[str] = []
+        self.higher_in_others: list[list[str]] = []
 
     @property
     def shared(self) -> bool:
@@ -99,6 +104,10 @@
                 self.ranked = ranked
             elif len(hosts) > MAX_INDEPENDENT_HOSTS or domains - small:
                 self.other_groups.append(ranked)
+        self.higher = self._hosts_above(self.ranked)
+        self.higher_in_others = [
+            self._hosts_above(ranked) for ranked in self.other_groups
+        ]
 
     def record_contact(self, host_id: str, now: float) -> None:
         """Record that a node reports contact with the source."""
@@ -112,7 +121,7 @@
         """Return whether this node passes on notices within its group."""
         if not self.shared:
             return False
-        rank = self._count_higher(self.ranked, connected, now)
+        rank = self._count_higher(self.higher, connected, now)
         overdue = now - self.contact_heard_at - self.contact_stale_seconds
         if overdue <= 0:
             return rank < CONTACT_COUNT
@@ -129,31 +138,40 @@
             return False
         if now - self.reader_heard_at > self.reader_stale_seconds:
             return True
-        rank = self._count_higher(self.ranked, connected, now)
-        for ranked in self.other_groups:
-            higher = self._count_higher(ranked, connected, now)
-            rank += min(CONTACT_COUNT, higher)
+        rank = self._count_higher(self.higher, connected, now)
+        for higher in self.higher_in_others:
+            count = self._count_higher(higher, connected, now)
+            rank += min(CONTACT_COUNT, count)
         return rank < READER_COUNT
 
     def other_contacts(self, connected: Collection[str]) -> list[str]:
         """Return the contacts of the other groups of the region."""
-        contacts = []
+        contacts: list[str] = []
         for ranked in self.other_groups:
-            reachable = [host for host in ranked if host in connected]
-            contacts += reachable[:CONTACT_COUNT]
+            reachable = (host for host in ranked if host in connected)
+            contacts += itertools.islice(reachable, CONTACT_COUNT)
         return contacts
 
+    def _hosts_above(self, ranked: list[str]) -> list[str]:
+        """Return the hosts of a group that rank above this node."""
+        own_key = _rank_key(self.host_id)
+        return [host for host in ranked if _rank_key(host) < own_key]
+
     def _count_higher(
-        self, ranked: list[str], connected: Collection[str], now: float
+        self, higher: list[str], connected: Collection[str], now: float
     ) -> int:
-        """Return how many connected hosts of a group rank above this node."""
-        is_starting = now - self.started_at < STARTUP_SECONDS
-        own_key = _rank_key(self.host_id)
+        """Return how many higher-ranked hosts of a group are connected.
+
+        The count ends where it makes no more difference.
+        """
+        if now - self.started_at < STARTUP_SECONDS:
+            return len(higher)
         count = 0
-        for host_id in ranked:
-            if _rank_key(host_id) >= own_key:
-                break
-            count += is_starting or host_id in connected
+        for host_id in higher:
+            if host_id in connected:
+                count += 1
+                if count == MAX_RANK:
+                    break
         return count
 
 
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -22,6 +22,8 @@
 MIN_REQUEST_INTERVAL_SECONDS = 0.1
 # Both readers of a region notify each contact after each response.
 MIN_RELAY_INTERVAL_SECONDS = 0.3
+# A notice that is relayed later says nothing about contact with the source.
+MAX_RELAY_DELAY_SECONDS = 0.5
 # How long the readers of the local failure domain have to fetch a version
 # before this node requests it from the peer that announced it.
 MAX_LAG_SECONDS = 0.5
@@ -97,8 +99,9 @@
         # Whether the source listed no targets when this node started.
         self.is_new_mesh = False
         self.failing_topics: set[str] = set()
-        # Whether a notice waits for the view that it announces, to be relayed.
-        self.relay_waits = False
+        # Until when a notice that waits for the view which it announces may
+        # be relayed.
+        self.relay_until = 0.0
         self.relayed_at = 0.0
         self.newer_version: tuple[str, int, float] | None = None
         self.requested_at = 0.0
@@ -293,7 +296,8 @@
         # each other must not take that for contact with the source.
         relays = notice.fresh and not notice.relayed
         if exchange.is_newer(self.view, notice):
-            self.relay_waits |= relays
+            if relays:
+                self.relay_until = now + MAX_RELAY_DELAY_SECONDS
             if now - self.requested_at >= MIN_REQUEST_INTERVAL_SECONDS:
                 self._request_view(host_id, now)
         elif relays:
@@ -335,10 +339,10 @@
                 origin=host_id,
             )
         self._view_updated(previously_evacuated)
-        if self.relay_waits:
-            self.relay_waits = False
-            self.relayed_at = 0.0
-            self._relay_notice(self.clock.monotonic())
+        now = self.clock.monotonic()
+        if now < self.relay_until:
+            self.relay_until = self.relayed_at = 0.0
+            self._relay_notice(now)
         return None
 
     def _request_view(self, host_id: str, now: float) -> None:
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -7,6 +7,7 @@
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
 from hickorythread.mesh import readership
+from hickorythread.mesh import synchronizer
 from hickorythread.mesh import view as mesh_view
 from tests import mesh_builders as build
 from tests import view_domain
@@ -130,6 +131,35 @@
         assert domain.now - heard_at > 3.0
 
 
+def test_notice_whose_view_comes_too_late_is_not_relayed():
+    """Guards against an old sign of contact with the source."""
+    domain = make_domain(36, LARGE_DOMAINS)
+    contact = next(
+        member
+        for member in domain.members.values()
+        if member.synchronizer.reader_selection.is_contact(
+            member.by_host, domain.now
+        )
+        and not member.synchronizer.reads_topic(interfaces.TARGETS)
+    )
+    sent = []
+    contact.send = lambda host_id, message: sent.append(message)
+    sender = domain.readers()[0].host_id
+    newer = messages.ViewNotice(2, 10_000, 0, True)
+    contact.synchronizer.notice_received(sender, newer)
+    view = mesh_view.View()
+    view.put_configuration(build.make_configuration(2))
+    reply = exchange.make_reply(view, messages.ViewRequest(1, 0, 0), 0.0)
+    domain.now += synchronizer.MAX_RELAY_DELAY_SECONDS + 0.1
+    contact.synchronizer.reply_received(sender, reply)
+    assert contact.view.version == 2
+    assert not [
+        message
+        for message in sent
+        if isinstance(message, messages.ViewNotice) and message.fresh
+    ]
+
+
 def test_every_node_of_a_small_domain_reads():
     domain = make_domain(readership.MAX_SMALL_DOMAIN_HOSTS)
     assert all(
