Start no request on a kept connection once the listeners are closed

A node that got SIGTERM at 11.0 s closed its listeners at 14.7 s and left when no request was open, with 20 ms for the last bytes. A kept connection brought a request at 14.943 s, which was passed on and cut by the exit. The server of eventlet tells only the connections that it knows as idle at that moment; one that was in use read on.

Change: the connections of the clients share a mark that the node sets before it closes the listeners. A request read after that is not started; its connection closes at once, after the responses that are still open.

Measured: the two cases of the new test fail when the mark is ignored.

--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -53,7 +53,7 @@
     last one, idle_seconds that without any byte.
     """
 
-    __slots__ = ("backlog", "idle_seconds", "request_seconds")
+    __slots__ = ("backlog", "idle_seconds", "request_seconds", "draining")
 
     def __init__(
         self,
@@ -64,6 +64,8 @@
         self.backlog = backlog or pipelining.Backlog()
         self.idle_seconds = idle_seconds
         self.request_seconds = request_seconds
+        # Once set, no further request is started, on any connection.
+        self.draining = False
 
 
 class Exchange:
@@ -215,7 +217,7 @@
         """Send the responses that a finished exchange completes."""
         if self.abandoned:
             return
-        if self.conn_state[2] == wsgi.STATE_CLOSE or exchange.wants_close():
+        if self._is_draining() or exchange.wants_close():
             self.closing = True
         ready = self.responses.complete(exchange)
         closes = self.closing and not self.responses.open
@@ -281,6 +283,11 @@
             LINGER_SECONDS, http_client.shut_down, self.connection
         )
 
+    def _is_draining(self) -> bool:
+        """Return whether the server starts no further requests."""
+        closed: bool = self.conn_state[2] == wsgi.STATE_CLOSE
+        return closed or self.options.draining
+
     def _all_sent(self) -> bool:
         return not self.responses.open and not self.unsent
 
@@ -299,8 +306,9 @@
             head = self._read_head()
         finally:
             self.receiving = self.head_begun = False
-        if self.closing:
-            # Counts as not read: the response before it closes.
+        if self.closing or self._is_draining():
+            # Counts as not read: the connection closes without a response to
+            # it, as soon as the earlier requests have theirs.
             return False
         if isinstance(head, http_requests.HeadError):
             self._reject(head)
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -125,6 +125,7 @@
         )
         self.clients: dict[int, interfaces.Client] = {}
         self.backlog = pipelining.Backlog()
+        self.client_connections = http_protocol.ConnectionOptions(self.backlog)
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
         self.last_number = 0
         self.reported_dropped = 0
@@ -200,6 +201,7 @@
         self._wait_for_quiet_period(now, ACCEPT_FRACTION * grace)
         # No more requests are read; those already read still get a response.
         self.accepting = False
+        self.client_connections.draining = True
         for listener in self.listeners:
             listener.close()
         deadline = now + grace - EXIT_MARGIN_SECONDS
@@ -227,10 +229,9 @@
         return not (self.backlog.empty and self.execution.idle)
 
     def _serve(self, listener: Any, app: Any) -> None:
-        backlog = None
+        options = None
         if isinstance(app, ingress.RequestApp):
-            backlog = self.backlog
-        options = http_protocol.ConnectionOptions(backlog)
+            options = self.client_connections
         try:
             server.serve(listener, app, options)
         except OSError:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -4,6 +4,7 @@
 import itertools
 import socket
 import struct
+import time
 import types
 
 import eventlet
@@ -89,6 +90,7 @@
     options = http_protocol.ConnectionOptions(**limits)
     with servers.serving(lambda: RequestServer(node, options)) as running:
         caller = test_server.Caller(running[1])
+        node.options = options
         yield caller, node, running[0].steps
         caller.sock.close()
 
@@ -164,6 +166,41 @@
         assert node.started == ["/a", "/b"]
 
 
+@pytest.mark.parametrize("open_request", [True, False])
+def test_request_that_comes_when_the_process_drains_is_not_started(
+    open_request,
+):
+    """Guards against a request that is started and cut by the exit.
+
+    A connection that was in use when the listeners closed brought a request
+    between the last check of open requests and the exit.
+    """
+    with serving() as (caller, node, steps):
+        caller.send(get("/a"))
+        steps.append(when_started(node, ["/a"], lambda: None))
+        wait_for(steps)
+        if not open_request:
+            steps.append(lambda: node.answer("/a") is None)
+            assert caller.response()[2] == b"/a"
+        node.options.draining = True
+        caller.send(get("/b"))
+        if open_request:
+            steps.append(lambda: node.answer("/a") is None)
+            status, response_headers, body = caller.response()
+            assert (response_headers["connection"], body) == ("close", b"/a")
+        assert caller.closed()
+        assert node.started == ["/a"]
+
+
+def wait_for(steps):
+    """Wait until the server has run all steps."""
+    for _ in range(2000):
+        if not steps:
+            return
+        time.sleep(0.005)
+    raise AssertionError("a step was not run")
+
+
 def test_requests_behind_a_bad_one_are_not_read():
     with serving() as (caller, node, steps):
         caller.send(get("/a"), "GET nonsense\r\n\r\n", get("/b"))
