--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -188,6 +188,8 @@
         changed = self.watched_file.reload()
         if "source_address" in changed:
             self.source.use_address(self.settings.source_address)
+        # Distances follow from the regions.
+        self.entry.placement.targets_changed()
         self.entry.update_retry_budget()
 
     def ready(self) -> bool:
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -460,3 +460,19 @@
     assert stream.reasons == ["no response"]
     stream.heard_at = 6.1
     assert peer_links.check_liveness({}, 6.2) == [("10.0.0.2", False)]
+
+
+def test_distances_follow_a_change_of_the_regions():
+    """Guards against an order of targets that a reload has outdated."""
+    regions = {"a": "north", "b": "south", "c": "north"}
+    chooser = placement.Placement("h", "a", regions, random.Random(1))
+    targets = [
+        build.make_target(1, failure_domain="b"),
+        build.make_target(2, failure_domain="c"),
+    ]
+    chooser.connected = {target.host_id for target in targets}
+    route = build.make_route()
+    assert chooser.choose(targets, route, frozenset(), (), 0.0).id == "t2"
+    regions.update(b="north", c="south")
+    chooser.targets_changed()
+    assert chooser.choose(targets, route, frozenset(), (), 0.0).id == "t1"
--- a/tests/test_mesh_load.py
+++ b/tests/test_mesh_load.py
@@ -107,7 +107,7 @@
     Every service retries its share, and the retries of one service repeat
     its calls to the next one, which count there as retries too.
     """
-    load = mesh_load.guild(3.0, seed, slots=60)
+    load = mesh_load.guild(4.0, seed, slots=90)
     for host in load.hosts.values():
         host.shed_rate = 0.25
     load.simulate(11.0)
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -316,10 +316,10 @@
     targets = dict(domain.source.targets)
     for target_id in targets:
         domain.source.change(interfaces.RemoveTarget(target_id))
-    domain.run_for(1.0)
-    for target in targets.values():
-        domain.source.change(interfaces.PutTarget(target))
-    for _ in range(30):
+    for step in range(40):
+        if step == 10:
+            for target in targets.values():
+                domain.source.change(interfaces.PutTarget(target))
         domain.run_for(0.1)
         for member in domain.members.values():
             assert len(member.view.targets) == len(domain.members)
