Log what a target says of its request limit and of its end

Change: the two headers are decoded in platform/; the node beside the target logs each change with the requests started since, and whether a response or a probe said it. Unreadable values are logged and change nothing. A gauge shows the limit. No decision changes.

--- a/src/hickorythread/mesh/events.py
+++ b/src/hickorythread/mesh/events.py
@@ -90,7 +90,10 @@
 
     not_run is True if the target states that it did not run the request.
     instance is the id that it reports, empty if it reports none. warmup is
-    the rest of its warm-up in seconds, None if it reports none.
+    the rest of its warm-up in seconds, None if it reports none. rate_limit is
+    the number of requests per second that it accepts in total, None if it
+    names none. leaving is True if it states that it is about to end.
+    unreadable holds the header lines whose value has the wrong form.
     """
 
     __slots__ = (
@@ -100,6 +103,9 @@
         "not_run",
         "instance",
         "warmup",
+        "rate_limit",
+        "leaving",
+        "unreadable",
     )
 
     def __init__(
@@ -110,6 +116,9 @@
         not_run: bool = False,
         instance: str = "",
         warmup: float | None = None,
+        rate_limit: float | None = None,
+        leaving: bool = False,
+        unreadable: tuple[str, ...] = (),
     ) -> None:
         self.status = status
         self.headers = headers
@@ -117,6 +126,9 @@
         self.not_run = not_run
         self.instance = instance
         self.warmup = warmup
+        self.rate_limit = rate_limit
+        self.leaving = leaving
+        self.unreadable = unreadable
 
 
 class Failure(Record):
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -113,6 +113,11 @@
         self.running_retries = 0
         # Runs that lost their connection since the last result of a probe.
         self.interrupted_runs: list[Run] = []
+        # The requests per second that the target accepts, None if it names no
+        # limit, and how many have started since it last changed that.
+        self.rate_limit: float | None = None
+        self.starts_since_limit = 0
+        self.target_leaving = False
 
     @property
     def idle(self) -> bool:
@@ -191,12 +196,12 @@
             self.admission.release_slot()
             actions = self._reply_not_run(run, 503, OTHER_INSTANCE)
             return actions + self._pause(OTHER_INSTANCE, now)
+        actions = self._note_target(response, "response")
         if response.not_run:
             self.admission.release_slot()
             status = 503 if response.status < 500 else response.status
-            return self._reply_not_run(run, status, SHED) + self._start_next(
-                now
-            )
+            actions += self._reply_not_run(run, status, SHED)
+            return actions + self._start_next(now)
         self.admission.release_slot(run.call.route, latency)
         reply = self._make_reply(
             run, messages.COMPLETE, response.status, "", response.headers
@@ -204,6 +209,7 @@
         reply.body = response.body
         reply.body_length = len(response.body)
         return [
+            *actions,
             *self._finish(run, reply),
             self._log_run(run, "complete", response.status, now),
             *self._start_next(now),
@@ -244,6 +250,7 @@
             # The first tick after PROBE_INTERVAL_SECONDS sends the next probe.
             return actions + self._announce(now)
         self.down = False
+        actions += self._note_target(result, "probe")
         if result.instance and result.instance != self.instance:
             actions.append(
                 events.Log(
@@ -353,6 +360,40 @@
                 )
         return None
 
+    def _note_target(
+        self, response: events.TargetResponse, source: str
+    ) -> list[events.Record]:
+        """Store what a response says about the target; log its changes."""
+        logs: list[events.Record] = [
+            events.Log("target_header_ignored", line=line)
+            for line in response.unreadable
+        ]
+        limit = response.rate_limit
+        if limit != self.rate_limit and not response.unreadable:
+            logs.append(
+                events.Log(
+                    "target_rate_limit",
+                    instance=self.instance,
+                    rate=limit,
+                    previous=self.rate_limit,
+                    starts=self.starts_since_limit,
+                    source=source,
+                )
+            )
+            self.rate_limit = limit
+            self.starts_since_limit = 0
+        if response.leaving != self.target_leaving:
+            self.target_leaving = response.leaving
+            logs.append(
+                events.Log(
+                    "target_leaving",
+                    instance=self.instance,
+                    leaving=response.leaving,
+                    source=source,
+                )
+            )
+        return logs
+
     def _start(self, run: Run, now: float) -> list[events.Record]:
         self.last_run_id += 1
         run.run_id = self.last_run_id
@@ -360,6 +401,7 @@
         run.instance = self.instance
         self.runs[run.run_id] = run
         self.running_retries += run.call.repeat
+        self.starts_since_limit += 1
         return [events.Run(run.run_id, run.call, self.instance, run.deadline)]
 
     def _end_run(self, run_id: int) -> Run:
--- a/src/hickorythread/mesh/telemetry.py
+++ b/src/hickorythread/mesh/telemetry.py
@@ -73,6 +73,7 @@
         self.metrics.set("target_running", running)
         self.metrics.set("target_waiting", waiting)
         self.metrics.set("target_limit", limit)
+        self.metrics.set("target_rate_limit", plane.rate_limit or 0.0)
         self.metrics.set("target_cold", plane.admission.bucket is not None)
 
     def _set_view_gauges(
--- a/src/hickorythread/platform/headers.py
+++ b/src/hickorythread/platform/headers.py
@@ -1,5 +1,6 @@
 """Translates the headers of requests and responses."""
 
+import re
 from typing import Any
 
 from hickorythread import server
@@ -19,6 +20,10 @@
 TARGET_LOAD = "hickorythread-instance-load"
 # Milliseconds until the target is warm, in health responses only.
 WARMUP_MS = "hickorythread-warmup-ms"
+# Requests per second that the target takes from all hosts together.
+RATE_LIMIT = "server-limit"
+# "1" once the target is about to end.
+LEAVING = "server-leaving"
 RETRY_AFTER = "Retry-After"
 
 # Request headers of clients that are replaced by the values of the sidecar.
@@ -33,6 +38,7 @@
     | {TARGET_LOAD, WARMUP_MS}
 )
 _MAX_MS = 600_000
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _MISDIRECTED_REQUEST = 421
 
 
@@ -96,6 +102,7 @@
         """Build a TargetResponse from the HTTP response of a target."""
         by_name = {name.lower(): value for name, value in fields}
         warmup = by_name.get(WARMUP_MS)
+        rate_limit, unreadable = _parse_rate_limit(fields)
         return events.TargetResponse(
             status,
             [
@@ -107,6 +114,9 @@
             NOT_RUN in by_name or status == _MISDIRECTED_REQUEST,
             by_name.get(TARGET_ID, ""),
             None if warmup is None else _parse_milliseconds(warmup),
+            rate_limit,
+            by_name.get(LEAVING) == "1",
+            unreadable,
         )
 
     def response_headers(self, response: events.Response) -> list[Any]:
@@ -127,6 +137,18 @@
     )
 
 
+def _parse_rate_limit(
+    fields: list[Any],
+) -> tuple[float | None, tuple[str, ...]]:
+    """Return the named requests per second, and the lines that name none."""
+    values = sorted(
+        {value for name, value in fields if name.lower() == RATE_LIMIT}
+    )
+    if len(values) == 1 and _DECIMAL.fullmatch(values[0]):
+        return float(values[0]), ()
+    return None, tuple(f"{RATE_LIMIT}: {value:.80}" for value in values)
+
+
 def _parse_milliseconds(text: str) -> float | None:
     """Convert milliseconds to seconds; None if invalid or out of range."""
     try:
