Reproduce a target's limit that nobody heeds, and its neighbours

Change: the load simulation lets limits come, change and go at several targets, also while their nodes restart, and counts the arrivals of each 4 s at the target. Beside it, one test each for a copied refusal, header values that change what is sent next, a leaving target, a 503 that promises nothing, and a late request of a stop.

--- a/tests/mesh_load.py
+++ b/tests/mesh_load.py
@@ -58,18 +58,31 @@
         self.domain = domain
         self.duration_factor = duration_factor
         self.shed_rate = 0.0
-        settings = build.make_settings(
+        # The limit that the target names, and (time, limit) of each change.
+        self.rate_limit = None
+        self.named_limits = []
+        self.settings = build.make_settings(
             number, failure_domain=domain, regions=REGIONS, service=service
         )
+        self.target = build.make_target(
+            number, service=service, failure_domain=domain, slots=slots
+        )
+        self.start()
+
+    def start(self):
+        """Start the node of this host, without any knowledge."""
         self.view = view.View()
         self.entry = entry.EntryPlane(
-            settings, self.view, random.Random(number)
+            self.settings, self.view, random.Random(self.host_id)
         )
-        self.execution = execution.ExecutionPlane(settings, self.view, 0.0)
-        self.target = build.make_target(
-            number, service=service, failure_domain=domain, slots=slots
+        self.execution = execution.ExecutionPlane(
+            self.settings, self.view, self.simulation.now
         )
-        self.busy = 0
+
+    def name_limit(self, rate):
+        """Let the target name a limit in its responses, None for no limit."""
+        self.rate_limit = rate
+        self.named_limits.append((self.simulation.now, rate))
 
     def perform(self, actions):
         for action in actions:
@@ -87,7 +100,11 @@
                         )
             elif isinstance(action, events.Probe):
                 answer = events.TargetResponse(
-                    200, [], b"", instance=self.target.id
+                    200,
+                    [],
+                    b"",
+                    instance=self.target.id,
+                    rate_limit=self.rate_limit,
                 )
                 self.simulation.schedule(
                     self.simulation.now, self.probed, answer
@@ -129,6 +146,10 @@
         # call that a retry makes.
         self.requested = []
         self.retried = []
+        # (time, host) of each arrival at a target, and the seconds that each
+        # request without a target's response was held.
+        self.arrivals = []
+        self.refused_after = []
         self.arrived = set()
         self.calls_of_retries = set()
         self.kinds = kinds
@@ -149,15 +170,43 @@
             },
             models.Limits(16384, 1 << 20, 3.0, 15.0),
         )
-        targets = {host.target.id: host.target for host in self.hosts.values()}
+        self.configuration = configuration
         for host in self.hosts.values():
-            host.view.put_configuration(configuration)
-            host.view.replace_targets(targets, 1, 0.0)
-            host.entry.view_changed()
-            for host_id in self.hosts:
-                host.entry.peer_connected(host_id)
+            self.connect(host)
             self.schedule(0.0, self.tick, host)
 
+    def connect(self, host):
+        """Give a node its view and the streams to all hosts."""
+        targets = {other.target.id: other.target for other in self.targets()}
+        host.view.put_configuration(self.configuration)
+        host.view.replace_targets(targets, 1, self.now)
+        host.entry.view_changed()
+        for host_id in self.hosts:
+            host.entry.peer_connected(host_id)
+
+    def targets(self, service=None):
+        """Return the hosts of a service, of all services if it is None."""
+        return [
+            host
+            for host in self.hosts.values()
+            if service in (None, host.service)
+        ]
+
+    def restart(self, host):
+        """Replace the node of a host while its target goes on."""
+        for number, request in list(self.open_requests.items()):
+            if request[0] is host:
+                del self.open_requests[number]
+        host.start()
+        self.connect(host)
+        for other in self.targets():
+            if other is not host:
+                other.perform(other.entry.peer_lost(host.host_id, self.now))
+                other.perform(
+                    other.execution.peer_lost(host.host_id, self.now)
+                )
+                other.entry.peer_connected(host.host_id)
+
     def schedule(self, when, function, *arguments):
         self.last_event_number += 1
         event = (when, self.last_event_number, function, arguments)
@@ -221,6 +270,8 @@
         )
 
     def responded(self, number, response):
+        if number not in self.open_requests:
+            return
         host, name, started_at, retries, on_done = self.open_requests.pop(
             number
         )
@@ -231,6 +282,8 @@
         key = (name, response.status)
         self.statuses[key] = self.statuses.get(key, 0) + 1
         elapsed = self.now - started_at
+        if response.status == 503 and not response.from_target:
+            self.refused_after.append(elapsed)
         if response.status == 200:
             late = elapsed > kind.route.objective
             self.credit[name] += kind.value * (LATE_CREDIT if late else 1.0)
@@ -263,6 +316,7 @@
 
     def record_arrival(self, host, request_id):
         """Return whether an arrival at a target counts as a retry."""
+        self.arrivals.append((self.now, host.host_id))
         is_retry = request_id in self.arrived
         if is_retry or request_id in self.calls_of_retries:
             self.retried.append((self.now, host.service))
@@ -341,7 +395,9 @@
         self.request(host, calls[0], self.now, 0, on_done, is_retry)
 
     def finish(self, host, action, answer):
-        if action.run_id in host.execution.runs:
+        run = host.execution.runs.get(action.run_id)
+        if run is not None and run.call is action.call:
+            answer.rate_limit = host.rate_limit
             host.perform(
                 host.execution.handle_response(action.run_id, answer, self.now)
             )
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -416,3 +416,59 @@
     assert not plane.idle
     plane.handle_response(1, events.TargetResponse(200, [], b""), 0.2)
     assert plane.idle
+
+
+def test_target_that_says_it_leaves_takes_no_new_work():
+    """Guards against requests to a target whose last word was that it leaves.
+
+    The peers hear it before the response that says so is passed on.
+    """
+    plane = build.make_execution()
+    plane.call("10.0.0.2", build.make_call(1), 0.0)
+    answer = events.TargetResponse(200, [], b"ok", leaving=True)
+    actions = plane.handle_response(1, answer, 0.1)
+    kinds = [
+        type(action)
+        for action in actions
+        if isinstance(action, events.Broadcast | events.Send)
+    ]
+    assert kinds == [events.Broadcast, events.Send]
+    (state,) = build.of_type(actions, events.Broadcast)
+    assert not state.message.usable
+    assert state.message.reason == "leaving"
+    (reply,) = build.sent_messages(
+        plane.call("10.0.0.2", build.make_call(2), 0.2), base_messages.Reply
+    )
+    assert (reply.outcome, reply.reason) == (messages.NOT_RUN, "leaving")
+
+
+def test_node_remembers_a_leaving_target_when_its_peer_does_not():
+    """Guards against requests to a leaving target after its node restarts."""
+    plane = build.make_entry(connected=2)
+    state = messages.TargetState("spec-desk", False, "leaving", [0, 0, 4])
+    plane.target_state("10.0.0.2", state, 0.0)
+    plane.peer_lost("10.0.0.2", 0.1)
+    plane.peer_connected("10.0.0.2")
+    state = messages.TargetState("spec-desk", True, "", [0, 0, 4])
+    plane.target_state("10.0.0.2", state, 0.2)
+    for number in range(1, 9):
+        actions = plane.request(build.make_request(number), 0.3)
+        sends = build.of_type(actions, events.Send)
+        assert {send.host_id for send in sends} == {"10.0.0.1"}
+
+
+def test_refusal_that_does_not_say_not_run_is_no_promise():
+    """Guards against a 503 for a write that may have run."""
+    route = build.make_route(idempotent=False)
+    configuration = build.make_configuration(routes=[route])
+    plane = build.make_entry(build.make_view(configuration=configuration))
+    (call,) = build.sent_messages(
+        plane.request(build.make_request(), 0.0), messages.Forward
+    )
+    host_id = next(iter(plane.pending.values())).host_id
+    reply = build.make_reply(call.call_id, messages.COMPLETE, 503)
+    (respond,) = build.of_type(
+        plane.reply(host_id, reply, 0.1), events.Respond
+    )
+    assert respond.response.status == 502
+    assert not respond.response.headers
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -478,3 +478,52 @@
     assert executed <= answered.keys()
     for path, (status, body) in answered.items():
         assert status != 200 or path.encode() in body
+
+
+def test_late_request_of_a_stop_is_not_cut_at_its_end(mesh):
+    """Guards against requests that are passed on and cut by the exit.
+
+    The grace time is 6 s and no response comes in it. Requests sent in its
+    first 3 s may be cut, as their targets are still at work at its end.
+    """
+    if mesh.processes[SOUTH].poll() is not None:
+        mesh.start(SOUTH)
+    mesh.wait_until(lambda: mesh.is_ready(SOUTH))
+    mesh.wait_until(lambda: mesh.is_usable(SOUTH))
+    process = mesh.processes[SOUTH]
+    for target in mesh.targets.values():
+        target.delay_seconds = 0.0
+        target.release.clear()
+    threads = [
+        threading.Thread(target=send_one, args=(mesh, number))
+        for number in range(2)
+    ]
+    threads[0].start()
+    mesh.wait_until(lambda: find_runs(mesh, "/two/late-0"))
+    process.send_signal(signal.SIGTERM)
+    time.sleep(3.3)
+    threads[1].start()
+    assert process.wait(WAIT_SECONDS) == 0
+    for target in mesh.targets.values():
+        target.release.set()
+    for thread in threads:
+        thread.join(WAIT_SECONDS)
+    assert not find_runs(mesh, "/two/late-1")
+
+
+def send_one(mesh, number):
+    """Send one request; the connection may end without a response."""
+    try:
+        mesh.request(SOUTH, f"/two/late-{number}")
+    except (OSError, http.client.HTTPException):
+        return
+
+
+def find_runs(mesh, path):
+    """Return the runs of a path at all targets."""
+    return [
+        run
+        for target in mesh.targets.values()
+        for run in target.runs
+        if run[0] == path
+    ]
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -55,6 +55,61 @@
         assert server.accepted == 2
 
 
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    + ID
+    + b"Hickorythread-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+def test_copy_of_a_refusal_is_not_the_response_to_a_retry():
+    """Guards against "not run" for a request that the target runs.
+
+    A second copy of the refusal arrives after the same request id has been
+    sent again.
+    """
+    with servers.ScriptedServer(
+        servers.respond(REFUSAL, REFUSAL + response(b"ran")),
+        servers.respond(response(b"ran")),
+    ) as server:
+        client = make_client(server)
+        assert client.run(make_run(1)).not_run
+        answer = client.run(make_run(2))
+        assert (answer.status, answer.body) == (200, b"ran")
+
+
+def test_values_of_keep_alive_never_lose_a_response():
+    """Guards against a whole response that counts as lost."""
+    for value in ("²", "-1", "", "9" * 5000, "5;x", "1.5", "timeout=", "x"):
+        fields = f"Keep-Alive: timeout={value}\r\n".encode("latin-1")
+        with servers.ScriptedServer(
+            servers.respond(response(b"whole", head=fields))
+        ) as server:
+            answer = make_client(server).run(make_run())
+        assert getattr(answer, "body", None) == b"whole", value
+
+
+def test_close_in_one_of_several_connection_headers_is_heeded():
+    """Guards against a request on a connection that the target closes."""
+    fields = b"Connection: close\r\nConnection: x-trace\r\n"
+    with servers.ScriptedServer(
+        servers.respond(response(b"one", head=fields))
+    ) as server:
+        client = make_client(server)
+        assert client.run(make_run()).body == b"one"
+        assert not client.idle
+
+
+def test_chunk_size_is_a_plain_hexadecimal_number():
+    """Guards against a body that is read differently than it was sent."""
+    for size in (b"-1", b"+2", b"0x2", b"0_2", b"", b" 2", b"2 \xb2"):
+        data = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
+        data += size + b"\r\nab\r\n0\r\n\r\n"
+        with servers.ScriptedServer(servers.respond(data)) as server:
+            result = make_client(server).run(make_run())
+        assert isinstance(result, events.Failure), size
+
+
 def test_answer_without_an_id_is_not_passed_on():
     with servers.ScriptedServer(
         servers.respond(response(b"x", b"", b"Connection: close\r\n"))
@@ -180,6 +235,28 @@
         assert not client.idle
 
 
+FRAMINGS = {
+    "length": b"Content-Length: 5\r\n\r\nwhole",
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+    "close": b"\r\n",
+}
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_response_that_is_cut_anywhere_is_no_response(framing):
+    """Guards against a success that was cut within its head or its body."""
+    data = (
+        b"HTTP/1.1 100 Continue\r\n\r\n"
+        + STATUS
+        + b"Hickorythread-Server-Stamp: s\r\n"
+        + FRAMINGS[framing]
+    )
+    for end in range(len(data)):
+        with servers.ScriptedServer(servers.respond(data[:end])) as server:
+            result = make_client(server).run(make_run())
+        assert isinstance(result, events.Failure), data[:end]
+
+
 FLOOD = {
     "line": (b"", b"a" * 65_536),
     "headers": (STATUS, b"X-A: a\r\n" * 5_000),
--- /dev/null
+++ b/tests/test_target_limits.py
@@ -0,0 +1,90 @@
+"""Simulations of targets that name the request rate which they accept."""
+
+import pytest
+
+from tests import mesh_load
+
+WINDOW_SECONDS = 4.0
+CONTACT_SECONDS = 3.0
+EXCESS_FACTOR = 1.5
+EXCESS_REQUESTS = 5
+SECONDS = 20.0
+
+
+def max_excess(load, host):
+    """Return the arrivals beyond the limit of a target in its worst window."""
+    arrivals = [when for when, host_id in load.arrivals if host_id == host]
+    changes = load.hosts[host].named_limits + [(SECONDS, None)]
+    named_at = next(when for when, rate in changes if rate is not None)
+    excess = 0.0
+    for start in arrivals:
+        end = start + WINDOW_SECONDS
+        limits = [
+            rate
+            for (when, rate), (until, _) in zip(
+                changes, changes[1:], strict=False
+            )
+            if when < end and until > start
+        ]
+        if start < named_at + CONTACT_SECONDS or None in limits:
+            continue
+        if end > SECONDS or not limits:
+            continue
+        allowed = EXCESS_FACTOR * WINDOW_SECONDS * max(limits)
+        count = sum(start <= when < end for when in arrivals)
+        excess = max(excess, count - allowed - EXCESS_REQUESTS)
+    return excess
+
+
+def limit_some_targets(load):
+    """Let limits come, change and go at three of five targets."""
+    first, second, third, *_ = load.targets("spec-desk")
+    for when, host, rate in (
+        (2.0, first, 9.0),
+        (2.0, second, 6.5),
+        (3.0, third, 0.0),
+        (9.0, first, 4.0),
+        (11.0, second, 12.0),
+        (14.0, first, None),
+        (15.0, third, 20.0),
+    ):
+        load.schedule(when, host.name_limit, rate)
+    return [first.host_id, second.host_id, third.host_id]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_target_gets_no_more_requests_than_the_limit_that_it_names(seed):
+    """Guards against a target that gets its usual load despite its limit."""
+    load = mesh_load.guild(0.8, seed)
+    hosts = limit_some_targets(load)
+    load.simulate(SECONDS)
+    assert max(max_excess(load, host) for host in hosts) <= 0.0
+    total, shares, _ = load.summary()
+    assert total > 0.8
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_limit_holds_across_restarts_of_the_nodes(seed):
+    """Guards against a limit that only the former process knew."""
+    load = mesh_load.guild(0.8, seed)
+    hosts = limit_some_targets(load)
+    for when in (6.0, 6.5, 8.0, 10.0, 12.5):
+        for host in hosts[:2]:
+            load.schedule(when, load.restart, load.hosts[host])
+    load.simulate(SECONDS)
+    assert max(max_excess(load, host) for host in hosts) <= 0.0
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_requests_beyond_the_limits_of_all_targets_are_refused_at_once(seed):
+    """Guards against callers that wait for a rate that is spent."""
+    load = mesh_load.guild(0.8, seed)
+    targets = load.targets("spec-desk")
+    for host in targets:
+        load.schedule(2.0, host.name_limit, 5.0)
+    load.simulate(SECONDS)
+    assert max(max_excess(load, host.host_id) for host in targets) <= 0.0
+    late = sorted(load.refused_after)[int(0.95 * len(load.refused_after))]
+    assert len(load.refused_after) > 500
+    assert late < 0.25
+    assert load.summary()[1]["kiln-book"] > 0.9
