Keep the starts at a target within the limit that it names

Cause: admission bounds what runs at once and the starts of a cold target; no part knew that a target may bound the rate of a warm one. The class: a word of the target that changes what may be sent next and that nobody reads. Its second member is Server-Leaving, mended here as it takes the same way.

Change: the node beside the target sees every arrival, so it keeps the limit: a token bucket in admission, beside the slots and the warm-up rate, that follows each response and probe. A restarted node starts nothing before its first probe, which names the limit again. What the rate will not serve in time is refused at once, also from the queue when the limit falls; the entry node asks another target, counts a spent limit as full, and takes a refusal as valid for 0.25 s for requests that are no more urgent. A target that says it ends gets no new work; peers hear it before the response that says so is passed on and remember it by start time.

Why it works: no request reaches a target but through its own node, and each process of that node learns the limit before it starts its first request.

In test_mesh_planes.py the reason of an announced end is now 'ending', as 'leaving' also stands for an entry that lapsed and may come back.

--- a/src/hickorythread/__init__.py
+++ b/src/hickorythread/__init__.py
@@ -48,7 +48,6 @@
     from hickorythread.models import Tenant
     from hickorythread.quarantine import Quarantine
     from hickorythread.readers import Backoff
-    from hickorythread.readers import TokenBucket
     from hickorythread.relay import Relay
     from hickorythread.replica import ConfigurationState
     from hickorythread.replica import Replica
@@ -56,6 +55,7 @@
     from hickorythread.routing import match_route
     from hickorythread.settings import Settings
     from hickorythread.status import StatusTree
+    from hickorythread.token_bucket import TokenBucket
     from hickorythread.validation import validate
 
 __version__ = "0.1.0"
@@ -105,7 +105,7 @@
     "ConfigurationState": "replica",
     "RetryBudget": "retries",
     "StatusTree": "status",
-    "TokenBucket": "readers",
+    "TokenBucket": "token_bucket",
     "match_route": "routing",
     "Settings": "settings",
     "validate": "validation",
--- a/src/hickorythread/control.py
+++ b/src/hickorythread/control.py
@@ -17,6 +17,7 @@
 from hickorythread import replica
 from hickorythread import settings as settings_module
 from hickorythread import status as status_module
+from hickorythread import token_bucket
 from hickorythread import validation
 
 CONFIG = messages.CONFIG_LOG
@@ -129,7 +130,7 @@
                 HOSTS, readers.HOSTS_WAIT_SECONDS, random_source
             ),
         }
-        self.read_limiter = readers.TokenBucket(
+        self.read_limiter = token_bucket.TokenBucket(
             readers.READS_PER_SECOND, readers.READ_BURST, now
         )
         # A new node normally waits until a peer contacts it. The cube root
--- a/src/hickorythread/mesh/admission.py
+++ b/src/hickorythread/mesh/admission.py
@@ -1,10 +1,10 @@
-"""Admission control for one target: slots, a warm-up rate and a queue."""
+"""Admission control for one target: slots, rates of starts and a queue."""
 
 import heapq
 from typing import Any
 
 from hickorythread import exceptions
-from hickorythread import readers
+from hickorythread import token_bucket
 
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 1.0
@@ -17,6 +17,18 @@
 # Requests of a route that is slow for its objective may still wait for this
 # share of it. Otherwise faster routes would take every slot.
 MIN_WAIT_SHARE = 0.1
+# The starts of so many seconds at the named rate may come in one bunch, so
+# that uneven arrivals can use the rate.
+RATE_BURST_SECONDS = 0.5
+# A target that names a rate of 0 still gets a request from time to time. Its
+# response tells whether the limit has ended.
+TRIAL_RATE = 0.2
+
+# Reasons of refusals.
+EXPECTED_WAIT = "expected-wait"
+QUEUE_FULL = "queue-full"
+WAITED_TOO_LONG = "waited-too-long"
+RATE_LIMIT = "rate-limit"
 
 
 class SlotRequest:
@@ -45,7 +57,11 @@
 
 
 class Admission:
-    """Decide whether a request runs now, is queued or is refused."""
+    """Decide whether a request runs now, is queued or is refused.
+
+    Starts stay within the slots, within the warm-up rate of a cold target and
+    within the rate limit that the target names, each if there is one.
+    """
 
     def __init__(self, slots: int, now: float) -> None:
         self.slots = slots
@@ -55,29 +71,49 @@
         self.latency = INITIAL_LATENCY_SECONDS
         self.latencies: dict[str, float] = {}
         self.warmup_ends_at = 0.0
-        self.bucket: readers.TokenBucket | None = None
+        self.warmup: token_bucket.TokenBucket | None = None
+        self.rate_limit: token_bucket.TokenBucket | None = None
         self.paused = True
 
     @property
     def limit(self) -> int:
-        """Return the maximum number of concurrent requests."""
-        if self.bucket is None:
+        """Return the number of concurrent requests that slots and rates allow.
+
+        It is at least 1.
+        """
+        rate = min((bucket.rate for bucket in self._rates()), default=None)
+        if rate is None:
             return self.slots
-        warmup_slots = int(self.bucket.rate * self.latency)
-        return max(1, min(self.slots, warmup_slots))
+        return max(1, min(self.slots, int(rate * self.latency)))
 
     def load(self, route: str = "") -> list[int]:
         """Return the running and queued requests, the limit and a latency.
 
-        The latency is that of the route in ms, or 0 if it is not known.
+        The latency is that of the route in ms, or 0 if it is not known. A
+        target whose rate limit is spent counts as full, also if it is idle.
         """
         latency = self.latencies.get(route, 0.0)
-        return [
-            self.running,
-            len(self.queue),
-            self.limit,
-            int(latency * 1000),
-        ]
+        limit = self.limit
+        running = self.running
+        if self.rate_limit is not None and self.rate_limit.tokens < 1.0:
+            running = max(running, limit)
+        return [running, len(self.queue), limit, int(latency * 1000)]
+
+    def set_rate_limit(self, rate: float | None, now: float) -> None:
+        """Limit the starts per second; None ends the limit.
+
+        A new limit begins without a reserve, since the requests that started
+        just before may already be more than it allows.
+        """
+        if rate is None:
+            self.rate_limit = None
+            return
+        rate = max(rate, TRIAL_RATE)
+        burst = max(1.0, rate * RATE_BURST_SECONDS)
+        if self.rate_limit is None:
+            self.rate_limit = token_bucket.TokenBucket(rate, burst, now, 0.0)
+        else:
+            self.rate_limit.change(rate, burst, now)
 
     def start_warmup(
         self, seconds: float, rate: float, burst: float, now: float
@@ -87,18 +123,18 @@
         Each call replaces the end of the warm-up, also with an earlier time.
         """
         if seconds <= 0.0:
-            self.bucket = None
+            self.warmup = None
             self.warmup_ends_at = now
             return
         self.warmup_ends_at = now + seconds
-        if self.bucket is None:
-            self.bucket = readers.TokenBucket(rate, burst, now)
+        if self.warmup is None:
+            self.warmup = token_bucket.TokenBucket(rate, burst, now)
 
     def is_warming_up(self, now: float) -> bool:
         """Return whether the target is still warming up."""
-        if self.bucket is not None and now >= self.warmup_ends_at:
-            self.bucket = None
-        return self.bucket is not None
+        if self.warmup is not None and now >= self.warmup_ends_at:
+            self.warmup = None
+        return self.warmup is not None
 
     def offer(
         self, request: SlotRequest, now: float
@@ -110,12 +146,12 @@
         if not self.queue and self._may_start(now):
             self.running += 1
             return True, None
-        wait = self.expected_wait(request.priority)
+        reason, wait = self.expected_wait(request.priority, now)
         latency = self.latencies.get(request.route, self.latency)
         if wait > self._max_wait(request, latency, now):
-            return False, self.refusal("expected-wait", wait)
+            return False, self.refusal(reason, wait)
         if len(self.queue) >= MAX_QUEUE_PER_SLOT * self.slots:
-            return False, self.refusal("queue-full", wait)
+            return False, self.refusal(QUEUE_FULL, wait)
         self.last_sequence += 1
         heapq.heappush(
             self.queue, (request.priority, self.last_sequence, request)
@@ -134,13 +170,17 @@
         )
         return min(max_wait, request.deadline - now - latency)
 
-    def expected_wait(self, priority: int) -> float:
-        """Return the expected wait of a new request of a priority."""
+    def expected_wait(self, priority: int, now: float) -> tuple[str, float]:
+        """Return what a new request waits for, and the expected seconds."""
         ahead = sum(1 for entry in self.queue if entry[0] <= priority) + 1
         wait = ahead * self.latency / self.slots
-        if self.bucket is not None:
-            wait = max(wait, ahead / self.bucket.rate)
-        return wait
+        if self.warmup is not None:
+            wait = max(wait, ahead / self.warmup.rate)
+        if self.rate_limit is not None:
+            rate_wait = self.rate_limit.wait(ahead, now)
+            if rate_wait > wait:
+                return RATE_LIMIT, rate_wait
+        return EXPECTED_WAIT, wait
 
     def refusal(self, reason: str, wait: float = 0.0) -> exceptions.Refusal:
         """Return the refusal of a request that exceeds the capacity."""
@@ -157,13 +197,25 @@
         return heapq.heappop(self.queue)[2]
 
     def remove_expired(self, now: float) -> list[SlotRequest]:
-        """Remove the queued requests that would miss their deadline."""
-        return self.remove_matching(
-            lambda request: (
-                now + 0.5 * self.latencies.get(request.route, self.latency)
-                > request.deadline
-            )
-        )
+        """Remove the queued requests that would miss their deadline.
+
+        Under a rate limit that includes those whose turn comes too late: more
+        urgent requests have come since, or the limit has changed.
+        """
+        if self.rate_limit is not None:
+            self.rate_limit.refill(now)
+        expired: set[SlotRequest] = set()
+        position = 0
+        for _, _, request in sorted(self.queue):
+            starts_at = now
+            if self.rate_limit is not None:
+                starts_at += self.rate_limit.wait(position + 1, now)
+            latency = self.latencies.get(request.route, self.latency)
+            if starts_at + 0.5 * latency > request.deadline:
+                expired.add(request)
+            else:
+                position += 1
+        return self.remove_matching(expired.__contains__) if expired else []
 
     def remove_matching(self, predicate: Any) -> list[SlotRequest]:
         """Remove and return the queued requests that match a predicate."""
@@ -191,7 +243,17 @@
     def _may_start(self, now: float) -> bool:
         if self.paused or self.running >= self.slots:
             return False
-        if not self.is_warming_up(now):
-            return True
-        assert self.bucket is not None
-        return self.bucket.take(now)
+        self.is_warming_up(now)
+        rates = self._rates()
+        if not all(bucket.has_token(now) for bucket in rates):
+            return False
+        for bucket in rates:
+            bucket.take(now)
+        return True
+
+    def _rates(self) -> list[token_bucket.TokenBucket]:
+        return [
+            bucket
+            for bucket in (self.warmup, self.rate_limit)
+            if bucket is not None
+        ]
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -8,6 +8,7 @@
 from hickorythread import interfaces
 from hickorythread import messages as base_messages
 from hickorythread import retries
+from hickorythread.mesh import admission
 from hickorythread.mesh import events
 from hickorythread.mesh import execution
 from hickorythread.mesh import messages
@@ -188,6 +189,10 @@
         peer.usable = message.usable
         if _is_load(message.load):
             peer.update_load(message.load, now)
+        if message.reason == execution.ENDING:
+            target = self.view.targets.get(message.instance)
+            if target is not None:
+                self.placement.note_ending(target)
         if not changed:
             return []
         return [
@@ -269,7 +274,7 @@
         )
         if target is None:
             log = self._log_no_target(pending, now)
-            return [log, *self._give_up(pending, "no-target", now)]
+            return [log, *self._give_up_without_target(pending, now)]
         self.last_call_id = call_id = self.last_call_id + 1
         pending.call_id = call_id
         pending.host_id = target.host_id
@@ -288,6 +293,21 @@
         message = pending.make_forward(self.settings.service, now)
         return [events.Send(target.host_id, message)]
 
+    def _give_up_without_target(
+        self, pending: pending_request.PendingRequest, now: float
+    ) -> Actions:
+        """Respond to a request that no target may get now."""
+        wait = self.placement.rate_limit_wait(
+            self.view.by_service.get(pending.service, ()),
+            pending.route,
+            self.view.evacuated,
+            now,
+        )
+        if wait is None:
+            return self._give_up(pending, "no-target", now)
+        pending.retry_after = min(pending.retry_after, wait)
+        return self._give_up(pending, admission.RATE_LIMIT, now)
+
     def _log_no_target(
         self, pending: pending_request.PendingRequest, now: float
     ) -> events.Log:
@@ -368,6 +388,10 @@
         peer = self.placement.peer(pending.host_id)
         if reason in execution.UNAVAILABLE_REASONS:
             self.placement.suspend(pending.host_id, SUSPEND_SECONDS, now)
+        if reason == admission.RATE_LIMIT:
+            peer.record_rate_refusal(
+                pending.route.priority, message.retry_after, now
+            )
         if reason in execution.REJECTED_REASONS:
             pending.rejections += 1
         if reason == execution.SHED:
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -11,10 +11,14 @@
 from hickorythread.mesh import messages
 from hickorythread.mesh import models
 from hickorythread.mesh import settings as mesh_settings
+from hickorythread.mesh import target_notices
 from hickorythread.mesh import view as mesh_view
 
 PROBE_INTERVAL_SECONDS = 0.25
 PROBE_TIMEOUT_SECONDS = 1.0
+# A target that has announced its end gets no requests, so that only a probe
+# shows whether another process has taken its place.
+ENDING_PROBE_SECONDS = 2.0
 DEFAULT_SLOTS = 4
 DEFAULT_HEALTH_PATH = "/healthz"
 MAX_FINISHED_CALLS = 4096
@@ -23,12 +27,15 @@
 # still stay within the limit.
 WARMUP_EXCESS_SHARE = 0.5
 
+# The target itself has said that it is about to end.
+ENDING = "ending"
 # Reasons for which the target refuses every request for some time.
 UNAVAILABLE_REASONS = frozenset(
     (
         "starting",
         "stopping",
         "leaving",
+        ENDING,
         "evacuated",
         "target-down",
         "other-service",
@@ -36,7 +43,7 @@
 )
 # Reasons for which the target refuses a request while it is at capacity.
 OVERLOAD_REASONS = frozenset(
-    ("expected-wait", "queue-full", "waited-too-long")
+    (admission.EXPECTED_WAIT, admission.QUEUE_FULL, admission.WAITED_TOO_LONG)
 )
 # The target itself rejected the request without running it. A node that sends
 # it to another target takes a token of the retry budget for that, since the
@@ -108,16 +115,12 @@
         self.warmup_ends_at = now
         self.down = True
         self.stopping = False
-        self.announced_state: tuple[str, bool] | None = None
+        self.announced_state: tuple[str, bool, bool] | None = None
         # How many of the runs at the target are retries.
         self.running_retries = 0
         # Runs that lost their connection since the last result of a probe.
         self.interrupted_runs: list[Run] = []
-        # The requests per second that the target accepts, None if it names no
-        # limit, and how many have started since it last changed that.
-        self.rate_limit: float | None = None
-        self.starts_since_limit = 0
-        self.target_leaving = False
+        self.notices = target_notices.TargetNotices()
 
     @property
     def idle(self) -> bool:
@@ -194,9 +197,11 @@
         if response.status == 421 and response.not_run:
             # Another instance of the target responds at the address.
             self.admission.release_slot()
-            actions = self._reply_not_run(run, 503, OTHER_INSTANCE)
-            return actions + self._pause(OTHER_INSTANCE, now)
-        actions = self._note_target(response, "response")
+            refusal = self._reply_not_run(run, 503, OTHER_INSTANCE)
+            return refusal + self._pause(OTHER_INSTANCE, now)
+        actions: list[events.Record] = []
+        if run.instance == self.instance:
+            actions = self._note_response(response, "response", now)
         if response.not_run:
             self.admission.release_slot()
             status = 503 if response.status < 500 else response.status
@@ -249,9 +254,13 @@
                 actions += self._report_crash(run, now)
             # The first tick after PROBE_INTERVAL_SECONDS sends the next probe.
             return actions + self._announce(now)
-        self.down = False
-        actions += self._note_target(result, "probe")
+        was_down, self.down = self.down, False
+        is_healthy = result.status == 200 and not result.leaving
+        if was_down or is_healthy:
+            # A target that responds again or no longer ends was restarted.
+            self.notices.ending = False
         if result.instance and result.instance != self.instance:
+            self.notices.reset()
             actions.append(
                 events.Log(
                     "target_instance",
@@ -261,6 +270,7 @@
             )
             self.instance = result.instance
             self._apply_registration(now)
+        actions += self._note_response(result, "probe", now)
         if result.warmup is not None:
             self._start_warmup(result.warmup, now)
         if self.admission.paused and self.instance:
@@ -286,7 +296,7 @@
         self.quarantine.expire(now)
         actions: list[events.Record] = []
         for slot_request in self.admission.remove_expired(now):
-            refusal = self.admission.refusal("waited-too-long")
+            refusal = self.admission.refusal(admission.WAITED_TOO_LONG)
             actions += self._refuse(slot_request.item, refusal)
         reason = self._unavailable_reason()
         if reason:
@@ -294,7 +304,7 @@
                 lambda slot_request: True
             ):
                 actions += self._reply_not_run(slot_request.item, 503, reason)
-        if self.admission.paused and self._probe_is_due(now):
+        if self._probe_is_due(now):
             actions += self._probe(now)
         return actions + self._start_next(now) + self._announce(now)
 
@@ -327,6 +337,8 @@
             return "target-down"
         if self.settings.failure_domain in self.view.evacuated:
             return "evacuated"
+        if self.notices.ending:
+            return ENDING
         target = self.view.targets.get(self.instance)
         if target is None:
             departed = self.instance in self.view.departed
@@ -360,39 +372,17 @@
                 )
         return None
 
-    def _note_target(
-        self, response: events.TargetResponse, source: str
+    def _note_response(
+        self, response: events.TargetResponse, source: str, now: float
     ) -> list[events.Record]:
-        """Store what a response says about the target; log its changes."""
-        logs: list[events.Record] = [
-            events.Log("target_header_ignored", line=line)
-            for line in response.unreadable
-        ]
-        limit = response.rate_limit
-        if limit != self.rate_limit and not response.unreadable:
-            logs.append(
-                events.Log(
-                    "target_rate_limit",
-                    instance=self.instance,
-                    rate=limit,
-                    previous=self.rate_limit,
-                    starts=self.starts_since_limit,
-                    source=source,
-                )
-            )
-            self.rate_limit = limit
-            self.starts_since_limit = 0
-        if response.leaving != self.target_leaving:
-            self.target_leaving = response.leaving
-            logs.append(
-                events.Log(
-                    "target_leaving",
-                    instance=self.instance,
-                    leaving=response.leaving,
-                    source=source,
-                )
-            )
-        return logs
+        """Apply what a response says about the target; announce its changes.
+
+        The peers hear of an end before the response that says so reaches a
+        client, since the announcement precedes the reply on each stream.
+        """
+        logs = self.notices.record(response, self.instance, source)
+        self.admission.set_rate_limit(self.notices.rate_limit, now)
+        return logs + self._announce(now) if logs else []
 
     def _start(self, run: Run, now: float) -> list[events.Record]:
         self.last_run_id += 1
@@ -401,7 +391,7 @@
         run.instance = self.instance
         self.runs[run.run_id] = run
         self.running_retries += run.call.repeat
-        self.starts_since_limit += 1
+        self.notices.starts += 1
         return [events.Run(run.run_id, run.call, self.instance, run.deadline)]
 
     def _end_run(self, run_id: int) -> Run:
@@ -478,10 +468,15 @@
         return [log, *self._probe(now)]
 
     def _probe_is_due(self, now: float) -> bool:
-        wait = (
-            PROBE_TIMEOUT_SECONDS if self.probing else PROBE_INTERVAL_SECONDS
-        )
-        return now - self.probed_at >= wait
+        if self.probing:
+            interval = PROBE_TIMEOUT_SECONDS
+        elif self.admission.paused:
+            interval = PROBE_INTERVAL_SECONDS
+        elif self.notices.ending:
+            interval = ENDING_PROBE_SECONDS
+        else:
+            return False
+        return now - self.probed_at >= interval
 
     def _probe(self, now: float) -> list[events.Record]:
         self.probing = True
@@ -495,6 +490,11 @@
         target = self.view.targets.get(self.instance)
         if target is None or target == self.registration:
             return
+        known = self.registration
+        if known is not None and known.id == target.id:
+            if known.started_at_ms != target.started_at_ms:
+                # Another process has started with the same id.
+                self.notices.ending = False
         self.registration = target
         self.admission.slots = target.slots
         if target.warmup_seconds > 0 and not self.admission.is_warming_up(now):
@@ -515,8 +515,12 @@
         """Broadcast changes of the target's availability and warm-up."""
         reason = self._unavailable_reason()
         # Nodes keep the limit of the last announcement, so that the end of
-        # the warm-up has to be announced as well.
-        state = (reason, self.admission.is_warming_up(now))
+        # the warm-up and of a rate limit has to be announced as well.
+        state = (
+            reason,
+            self.admission.is_warming_up(now),
+            self.admission.rate_limit is not None,
+        )
         if state == self.announced_state:
             return []
         self.announced_state = state
@@ -525,6 +529,7 @@
             not reason,
             reason,
             self.admission.load(),
+            self.instance,
         )
         return [
             events.Broadcast(message),
@@ -537,7 +542,11 @@
             self.announced_state[0] if self.announced_state else "target-down"
         )
         return messages.TargetState(
-            self.settings.service, not reason, reason, self.admission.load()
+            self.settings.service,
+            not reason,
+            reason,
+            self.admission.load(),
+            self.instance,
         )
 
     def _log(
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -92,19 +92,28 @@
     """Announce whether the target on the sender's host accepts requests.
 
     load holds the running and queued requests, the limit and a latency in ms.
+    instance is the id of the target, empty if it is not known.
     """
 
-    __slots__ = ("service", "usable", "reason", "load")
+    __slots__ = ("service", "usable", "reason", "load", "instance")
     code = 41
-    types = (str, bool, str, list)
+    types = (str, bool, str, list, str)
+    # Nodes of earlier releases do not name the instance.
+    defaults = ("",)
 
     def __init__(
-        self, service: str, usable: bool, reason: str, load: list[int]
+        self,
+        service: str,
+        usable: bool,
+        reason: str,
+        load: list[int],
+        instance: str = "",
     ) -> None:
         self.service = service
         self.usable = usable
         self.reason = reason
         self.load = load
+        self.instance = instance
 
 
 class ViewRequest(messages.Message):
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -399,6 +399,8 @@
 
     def _log(self, action: base_events.Log) -> None:
         self.metrics.count(action.event)
+        if action.event == "refused":
+            self.metrics.count("refusals", reason=action.values["reason"])
         status = action.values.get("status", 0)
         ordinary = (
             action.event in ORDINARY_EVENTS
--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -24,6 +24,14 @@
 LOAD_HALF_LIFE_SECONDS = 1.0
 UNKNOWN_LOAD_SHARE = 0.4
 JITTER = 0.05
+# How long a node takes its word for it that the rate limit of a target is
+# spent. The wait that a refusal names may be longer, but other nodes may send
+# less by then.
+MAX_RATE_REFUSAL_SECONDS = 0.25
+MAX_ENDING_TARGETS = 1024
+
+# Reason of an exclusion.
+RATE_LIMITED = "rate-limited"
 
 
 class PeerState:
@@ -31,7 +39,9 @@
 
     load counts the running and queued requests at reported_at,
     sent_since_report the calls that this node sent later, and open_calls its
-    calls without a reply.
+    calls without a reply. Until rate_refused_until, the target has no starts
+    left under its rate limit for requests that are not more urgent than
+    rate_refused_priority.
     """
 
     __slots__ = (
@@ -44,6 +54,8 @@
         "failed_at",
         "route_latencies",
         "suspended_until",
+        "rate_refused_until",
+        "rate_refused_priority",
         "usable",
         "silent",
     )
@@ -58,6 +70,8 @@
         self.failed_at = 0.0
         self.route_latencies: dict[str, tuple[float, float]] = {}
         self.suspended_until = 0.0
+        self.rate_refused_until = 0.0
+        self.rate_refused_priority = 0
         self.usable = True
         self.silent = False
 
@@ -92,6 +106,21 @@
         self.failures = current + FAILURE_SMOOTHING * (failed - current)
         self.failed_at = now
 
+    def record_rate_refusal(
+        self, priority: int, wait: float, now: float
+    ) -> None:
+        """Record that the target refused a request for its rate limit."""
+        if not self.rate_refuses(priority, now):
+            self.rate_refused_priority = priority
+            self.rate_refused_until = now + min(wait, MAX_RATE_REFUSAL_SECONDS)
+
+    def rate_refuses(self, priority: int, now: float) -> bool:
+        """Return whether a recent refusal covers requests of a priority."""
+        return (
+            now < self.rate_refused_until
+            and priority >= self.rate_refused_priority
+        )
+
     def excess_latency(self, route: models.Route, now: float) -> float:
         """Return the latency above the limit as a share of the objective.
 
@@ -126,6 +155,8 @@
         self.random_source = random_source
         self.peers: dict[str, PeerState] = {}
         self.connected: set[str] = {host_id}
+        # Start times of the target processes that have announced their end.
+        self.ending: dict[str, int] = {}
         self.tiers: dict[
             int,
             tuple[
@@ -210,6 +241,8 @@
         host_id = target.host_id
         if target.draining:
             return "draining"
+        if self.ending and self.ending.get(target.id) == target.started_at_ms:
+            return "ending"
         if target.failure_domain in evacuated:
             return "evacuated"
         if host_id not in self.connected:
@@ -222,7 +255,43 @@
             return "unusable"
         if peer.silent:
             return "silent"
-        return "suspended" if now < peer.suspended_until else ""
+        if now < peer.suspended_until:
+            return "suspended"
+        if peer.rate_refuses(route.priority, now):
+            return RATE_LIMITED
+        return ""
+
+    def note_ending(self, target: models.Target) -> None:
+        """Exclude a target process that has announced its end.
+
+        Its node may be restarted and then know nothing of that.
+        """
+        if not target.started_at_ms:
+            return
+        self.ending[target.id] = target.started_at_ms
+        if len(self.ending) > MAX_ENDING_TARGETS:
+            del self.ending[next(iter(self.ending))]
+
+    def rate_limit_wait(
+        self,
+        targets: Collection[models.Target],
+        route: models.Route,
+        evacuated: frozenset[str],
+        now: float,
+    ) -> float | None:
+        """Return the seconds until a rate limit may allow a request again.
+
+        Returns None if rate limits exclude none of the targets.
+        """
+        return min(
+            (
+                self.peer(target.host_id).rate_refused_until - now
+                for target in targets
+                if self.exclusion(target, route, evacuated, now)
+                == RATE_LIMITED
+            ),
+            default=None,
+        )
 
     def explain(
         self,
--- /dev/null
+++ b/src/hickorythread/mesh/target_notices.py
@@ -0,0 +1,56 @@
+"""What the target on this host last said about itself in its responses."""
+
+from hickorythread.mesh import events
+
+
+class TargetNotices:
+    """Follow the rate limit and the announced end of one target process.
+
+    rate_limit is the number of requests per second that the target accepts,
+    None if it names none. It holds until a response names another one or
+    none. ending is True once the target has said that it is about to end; a
+    process does not take that back. starts counts the requests that started
+    since the limit last changed.
+    """
+
+    __slots__ = ("rate_limit", "ending", "starts")
+
+    def __init__(self) -> None:
+        self.rate_limit: float | None = None
+        self.ending = False
+        self.starts = 0
+
+    def reset(self) -> None:
+        """Forget everything, because another process has started."""
+        self.rate_limit = None
+        self.ending = False
+        self.starts = 0
+
+    def record(
+        self, response: events.TargetResponse, instance: str, source: str
+    ) -> list[events.Record]:
+        """Store what a response says; return the lines that log changes."""
+        logs: list[events.Record] = [
+            events.Log("target_header_ignored", instance=instance, line=line)
+            for line in response.unreadable
+        ]
+        limit = response.rate_limit
+        if limit != self.rate_limit and not response.unreadable:
+            logs.append(
+                events.Log(
+                    "target_rate_limit",
+                    instance=instance,
+                    rate=limit,
+                    previous=self.rate_limit,
+                    starts=self.starts,
+                    source=source,
+                )
+            )
+            self.rate_limit = limit
+            self.starts = 0
+        if response.leaving and not self.ending:
+            self.ending = True
+            logs.append(
+                events.Log("target_ending", instance=instance, source=source)
+            )
+        return logs
--- a/src/hickorythread/mesh/telemetry.py
+++ b/src/hickorythread/mesh/telemetry.py
@@ -73,8 +73,8 @@
         self.metrics.set("target_running", running)
         self.metrics.set("target_waiting", waiting)
         self.metrics.set("target_limit", limit)
-        self.metrics.set("target_rate_limit", plane.rate_limit or 0.0)
-        self.metrics.set("target_cold", plane.admission.bucket is not None)
+        self.metrics.set("target_rate_limit", plane.notices.rate_limit or 0.0)
+        self.metrics.set("target_cold", plane.admission.warmup is not None)
 
     def _set_view_gauges(
         self, node_synchronizer: synchronizer.Synchronizer, now: float
--- a/src/hickorythread/readers.py
+++ b/src/hickorythread/readers.py
@@ -48,28 +48,6 @@
         self.failures = 0
 
 
-class TokenBucket:
-    """Hold at most burst tokens, as a token bucket."""
-
-    __slots__ = ("rate", "burst", "tokens", "refilled_at")
-
-    def __init__(self, rate: float, burst: float, now: float) -> None:
-        self.rate = rate
-        self.burst = burst
-        self.tokens = burst
-        self.refilled_at = now
-
-    def take(self, now: float) -> bool:
-        """Take one token; return False if there is none."""
-        added_tokens = max(0.0, now - self.refilled_at) * self.rate
-        self.tokens = min(self.burst, self.tokens + added_tokens)
-        self.refilled_at = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 class Watch:
     """Track the reads of one log from the source.
 
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -16,6 +16,7 @@
 from hickorythread import interfaces
 from hickorythread import messages
 from hickorythread import readers
+from hickorythread import token_bucket
 from hickorythread import utils
 
 READ_BYTES = 64 * 1024
@@ -231,7 +232,7 @@
         self.pending: dict[str, list[tuple[Any, float | None]]] = {}
         self.backoffs: dict[str, readers.Backoff] = {}
         self.retry_at: dict[str, float] = {}
-        self.accept_limiter = readers.TokenBucket(
+        self.accept_limiter = token_bucket.TokenBucket(
             ACCEPTS_PER_SECOND, ACCEPTS_PER_SECOND, clock.monotonic()
         )
         self.listener: Any = None
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -435,17 +435,19 @@
     assert kinds == [events.Broadcast, events.Send]
     (state,) = build.of_type(actions, events.Broadcast)
     assert not state.message.usable
-    assert state.message.reason == "leaving"
+    assert state.message.reason == "ending"
     (reply,) = build.sent_messages(
         plane.call("10.0.0.2", build.make_call(2), 0.2), base_messages.Reply
     )
-    assert (reply.outcome, reply.reason) == (messages.NOT_RUN, "leaving")
+    assert (reply.outcome, reply.reason) == (messages.NOT_RUN, "ending")
 
 
 def test_node_remembers_a_leaving_target_when_its_peer_does_not():
     """Guards against requests to a leaving target after its node restarts."""
-    plane = build.make_entry(connected=2)
-    state = messages.TargetState("spec-desk", False, "leaving", [0, 0, 4])
+    made_view = build.make_view()
+    made_view.put_target(build.make_target(2, started_at_ms=5))
+    plane = build.make_entry(made_view, connected=2)
+    state = messages.TargetState("spec-desk", False, "ending", [0, 0, 4], "t2")
     plane.target_state("10.0.0.2", state, 0.0)
     plane.peer_lost("10.0.0.2", 0.1)
     plane.peer_connected("10.0.0.2")
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -3,6 +3,7 @@
 import random
 
 from hickorythread import readers
+from hickorythread import token_bucket
 
 
 def test_backoff_grows_with_full_jitter_to_its_limit():
@@ -18,7 +19,7 @@
 
 def test_token_bucket_limits_the_rate():
     """R12: guards against reads beyond the rate limit of the source."""
-    bucket = readers.TokenBucket(30.0, 30.0, 0.0)
+    bucket = token_bucket.TokenBucket(30.0, 30.0, 0.0)
     taken = sum(bucket.take(step / 1000) for step in range(10_000))
     assert 320 <= taken <= 331
     assert not bucket.take(5.0), "an earlier time must not add tokens"
