Send no request id twice on one connection to a target

Clients would be told 'not run, try again' (503) for a request that the target runs, or it would run at a second target (REFUSED, TWICE).

Cause: a response is matched to its request by the id that it echoes. A retry with the same id on the kept connection of an earlier refusal takes a second copy of that refusal for its own response.

Change: a connection remembers the ids that it has carried and is closed after 1,000 requests; a request whose id it knows gets another connection. Ids that differ tell responses apart as before.

The test of a connection that ended between requests sends another id with its second request now, as the same id would no longer use that connection.

--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -11,6 +11,7 @@
 from hickorythread import utils
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
+from hickorythread.mesh import messages
 
 MAX_RESPONSE_BYTES = 1_900_000
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -22,19 +23,33 @@
 DEFAULT_IDLE_TIMEOUT_SECONDS = 4.0
 IDLE_TIMEOUT_FRACTION = 0.7
 MAX_RESPONSES_PER_REQUEST = 4
+MAX_REQUESTS_PER_CONNECTION = 1000
 BODYLESS_METHODS = frozenset(("GET", "HEAD", "DELETE"))
 
 
-class _IdleConnection:
-    """Hold a persistent connection and the time at which it expires."""
+class _TargetConnection:
+    """Hold a persistent connection to the target.
 
-    __slots__ = ("connection", "expires_at")
+    request_ids holds the ids of all requests sent on it. Only the id tells
+    which request a response belongs to, so that no id may be sent twice: a
+    second copy of the first response would pass for the second one.
+    expires_at is the time until which it may stay idle.
+    """
 
-    def __init__(
-        self, connection: http_client.Connection, expires_at: float
-    ) -> None:
+    __slots__ = ("connection", "request_ids", "expires_at")
+
+    def __init__(self, connection: http_client.Connection) -> None:
         self.connection = connection
-        self.expires_at = expires_at
+        self.request_ids: set[str] = set()
+        self.expires_at = 0.0
+
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether the response to a request would be unambiguous."""
+        return request_id not in self.request_ids
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.connection.close()
 
 
 class _ActiveRequest:
@@ -63,7 +78,7 @@
         self.dialect = dialect
         self.clock = clock
         self.host, self.port = utils.split_address(address)
-        self.idle: list[_IdleConnection] = []
+        self.idle: list[_TargetConnection] = []
         self.active_requests: dict[int, _ActiveRequest] = {}
 
     def run(
@@ -127,34 +142,36 @@
             if now < idle.expires_at:
                 still_idle.append(idle)
             else:
-                idle.connection.close()
+                idle.close()
         self.idle = still_idle
 
     def drop_idle(self) -> None:
         """Close all idle connections; they may belong to an old process."""
         while self.idle:
-            self.idle.pop().connection.close()
+            self.idle.pop().close()
 
     def _run(
         self, action: events.Run, active: _ActiveRequest
     ) -> events.TargetResponse | events.Failure:
         try:
-            connection = self._acquire()
+            target_connection = self._acquire(action.call.request_id)
         except _StaleConnectionError:
             return events.Failure("stale")
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return events.Failure("connect", _describe(error))
+        connection = target_connection.connection
         remaining = action.deadline - self.clock.monotonic()
         if active.cancelled or remaining < MIN_REMAINING_SECONDS:
             connection.close()
             return events.Failure("late")
-        expires_at = 0.0
+        reusable = False
         active.sock = connection.sock
         try:
             self._send(connection, action, remaining)
             response, body = self._receive(connection, action)
-            if not response.will_close and connection.reader.is_empty():
-                expires_at = self.clock.monotonic() + _idle_timeout(response)
+            reusable = not response.will_close and connection.reader.is_empty()
+            if reusable:
+                self._keep(target_connection, action.call, response)
             return self.dialect.read_response(
                 response.status, response.fields, body
             )
@@ -164,11 +181,25 @@
             return events.Failure("lost", _describe(e))
         finally:
             active.sock = None
-            if expires_at:
-                self.idle.append(_IdleConnection(connection, expires_at))
-            else:
+            if not reusable:
                 connection.close()
 
+    def _keep(
+        self,
+        connection: _TargetConnection,
+        call: messages.Forward,
+        response: http_client.Response,
+    ) -> None:
+        """Keep a connection for further requests."""
+        connection.request_ids.add(call.request_id)
+        if len(connection.request_ids) >= MAX_REQUESTS_PER_CONNECTION:
+            connection.close()
+            return
+        connection.expires_at = self.clock.monotonic() + _idle_timeout(
+            response
+        )
+        self.idle.append(connection)
+
     def _send(
         self,
         connection: http_client.Connection,
@@ -202,17 +233,24 @@
                 break
         raise http.client.HTTPException("response belongs to another request")
 
-    def _acquire(self) -> http_client.Connection:
-        while self.idle:
-            idle = self.idle.pop()
-            if self.clock.monotonic() >= idle.expires_at:
-                idle.connection.close()
+    def _acquire(self, request_id: str) -> _TargetConnection:
+        """Return a connection on which the id has not been sent before.
+
+        Raises _StaleConnectionError if the target has closed the idle one.
+        """
+        now = self.clock.monotonic()
+        for idle in reversed(self.idle.copy()):
+            if now < idle.expires_at and not idle.may_carry(request_id):
                 continue
-            if http_client.is_usable(idle.connection.sock):
-                return idle.connection
-            idle.connection.close()
-            raise _StaleConnectionError
-        return self._connect()
+            self.idle.remove(idle)
+            if now >= idle.expires_at:
+                idle.close()
+            elif http_client.is_usable(idle.connection.sock):
+                return idle
+            else:
+                idle.close()
+                raise _StaleConnectionError
+        return _TargetConnection(self._connect())
 
     def _connect(self) -> http_client.Connection:
         connection = http_client.Connection(
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -24,7 +24,7 @@
 
 
 def make_run(run_id=1, seconds=5.0, **values):
-    call = build.make_call(request_id="r1", **values)
+    call = build.make_call(**({"request_id": "r1"} | values))
     deadline = utils.SystemClock().monotonic() + seconds
     return events.Run(run_id, call, "t1", deadline)
 
@@ -135,7 +135,7 @@
         assert client.run(make_run(1)).body == b"one"
         server.closed.get(timeout=10)
         select.select([client.idle[0].connection.sock], [], [], 10)
-        assert client.run(make_run(2)).kind == "stale"
+        assert client.run(make_run(2, request_id="r2")).kind == "stale"
         assert len(server.requests) == 1
 
 
