Report the load of a limited target by the starts that it lacks

Cause: a limited target without a start counted as full for a second, though the next start is due after 1/rate; a limit of 1.9 places was cut to 1.

Change: the load of a limited target is its limit less the starts it has left, rounded, so that (load + 1) / limit is the wait in units of its latency.

--- a/src/hickorythread/mesh/admission.py
+++ b/src/hickorythread/mesh/admission.py
@@ -84,19 +84,20 @@
         rate = min((bucket.rate for bucket in self._rates()), default=None)
         if rate is None:
             return self.slots
-        return max(1, min(self.slots, int(rate * self.latency)))
+        return max(1, min(self.slots, round(rate * self.latency)))
 
     def load(self, route: str = "") -> list[int]:
         """Return the running and queued requests, the limit and a latency.
 
-        The latency is that of the route in ms, or 0 if it is not known. A
-        target whose rate limit is spent counts as full, also if it is idle.
+        The latency is that of the route in ms, or 0 if it is not known. Under
+        a rate limit, a target with free slots counts as full by the starts
+        that it lacks: what a request waits for is a start and not a slot.
         """
         latency = self.latencies.get(route, 0.0)
         limit = self.limit
         running = self.running
-        if self.rate_limit is not None and self.rate_limit.tokens < 1.0:
-            running = max(running, limit)
+        if self.rate_limit is not None and running < self.slots:
+            running = max(0, limit - int(self.rate_limit.tokens))
         return [running, len(self.queue), limit, int(latency * 1000)]
 
     def set_rate_limit(self, rate: float | None, now: float) -> None:
