Read what a peer states strictly where it decides what comes next

Callers lost good responses: 'Keep-Alive: timeout=²' passes str.isdigit(), int() raises, and the response counted as lost (502). The same value as the port of an entry in the store raised later, where the view reads the host of a target.

Cause: values were parsed by what int() takes, and the last of several headers with one name was used. The class: a header of a response that changes what may be sent next.

Change: counts are ASCII digits of bounded length everywhere; an unreadable Keep-Alive counts as none. Headers with one name are joined before they decide about the connection. Chunks are read by our own strict parser: signs and prefixes in sizes, a chunk of another length and a missing last line are errors, where http.client accepts them.

--- a/src/hickorythread/adapters.py
+++ b/src/hickorythread/adapters.py
@@ -20,6 +20,7 @@
 from hickorythread import connection_reader
 from hickorythread import events
 from hickorythread import http_client
+from hickorythread import http_requests
 from hickorythread import interfaces
 from hickorythread import models
 from hickorythread import utils
@@ -385,8 +386,8 @@
         started_at = 0
         for field in response.fields:
             name = field[0].lower()
-            if name == "x-upstream-started-at" and field[1].isdecimal():
-                started_at = int(field[1])
+            if name == "x-upstream-started-at":
+                started_at = http_requests.parse_count(field[1]) or 0
             if name not in _HOP_BY_HOP_HEADERS:
                 headers.append(field)
         answer = events.TargetAnswered(
--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -4,6 +4,7 @@
 package, whose parser takes a third of the time of a short request.
 """
 
+from collections.abc import Callable
 import http.client
 import socket
 import time
@@ -13,6 +14,7 @@
 import urllib3.connection
 
 from hickorythread import connection_reader
+from hickorythread import http_requests
 
 MAX_COALESCED_BYTES = 16_384
 MAX_LINE_BYTES = 65_536
@@ -32,6 +34,8 @@
     # The length of the body that the head states, None if it states none.
     body_length: int | None
     fields: list[list[str]]
+    chunk_left: int | None
+    _close_conn: Callable[[], None]
     _method: str
 
     def begin(self) -> None:
@@ -44,7 +48,7 @@
             status = self._read_status_line()
             self.fields = self._read_headers()
         self.code = self.status = status
-        self._set_framing({name.lower(): text for name, text in self.fields})
+        self._set_framing(_join_fields(self.fields))
 
     def _read_status_line(self) -> int:
         line = self._read_line()
@@ -104,6 +108,38 @@
             self.length = self._parse_length(text)
         self.body_length = self.length
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the unread bytes of the current chunk, None at the end.
+
+        The version of http.client accepts signs and prefixes in sizes, chunks
+        that are longer than announced and a missing last line.
+        """
+        if not self.chunk_left:
+            if self.chunk_left is not None and not self._read_blank_line():
+                raise http.client.HTTPException("chunk has another length")
+            size = http_requests.parse_chunk_size(self._read_line())
+            if size is None:
+                raise http.client.HTTPException("malformed chunk size")
+            self.chunk_left = size
+            if not size:
+                self._skip_trailers()
+                self._close_conn()
+                self.chunk_left = None
+        return self.chunk_left
+
+    def _skip_trailers(self) -> None:
+        for _ in range(MAX_HEADERS):
+            if self._read_blank_line():
+                return
+        raise http.client.HTTPException("too many trailers")
+
+    def _read_blank_line(self) -> bool:
+        """Read a line and return whether it is blank."""
+        line = self._read_line()
+        if not line:
+            raise http.client.IncompleteRead(b"")
+        return line in (b"\r\n", b"\n")
+
     def _parse_length(self, text: str) -> int:
         lengths = {
             value
@@ -115,6 +151,15 @@
         return int(text)
 
 
+def _join_fields(fields: list[list[str]]) -> dict[str, str]:
+    """Return the values by lower-case name, joined if a name is repeated."""
+    values: dict[str, str] = {}
+    for name, text in fields:
+        key = name.lower()
+        values[key] = f"{values[key]}, {text}" if key in values else text
+    return values
+
+
 class CloseDelimitedResponse(Response):
     """Accept a response whose body may end when the connection is closed."""
 
--- a/src/hickorythread/http_requests.py
+++ b/src/hickorythread/http_requests.py
@@ -175,6 +175,12 @@
     return int(text) if is_count and len(text) <= MAX_COUNT_DIGITS else None
 
 
+def parse_chunk_size(line: bytes) -> int | None:
+    """Return the size that a chunk's first line states, None if malformed."""
+    match = _CHUNK_SIZE.match(line)
+    return None if match is None else int(match[1], 16)
+
+
 class Body:
     """Read the body of one request.
 
@@ -236,10 +242,10 @@
         return b"".join(parts)
 
     def _read_chunk_size(self) -> int:
-        match = _CHUNK_SIZE.match(self._read_line())
-        if match is None:
+        size = parse_chunk_size(self._read_line())
+        if size is None:
             raise BodyError("malformed chunk size")
-        return int(match[1], 16)
+        return size
 
     def _skip_trailers(self) -> None:
         for _ in range(MAX_HEADERS):
--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -6,6 +6,7 @@
 import urllib3
 
 from hickorythread import http_client
+from hickorythread import http_requests
 from hickorythread import interfaces as base_interfaces
 from hickorythread import keepalive
 from hickorythread import utils
@@ -268,9 +269,10 @@
     for name, value in response.fields:
         if name.lower() == "keep-alive":
             for part in value.split(","):
-                key, _, seconds = part.strip().partition("=")
-                if key == "timeout" and seconds.isdigit():
-                    return IDLE_TIMEOUT_FRACTION * int(seconds)
+                key, _, text = part.strip().partition("=")
+                seconds = http_requests.parse_count(text)
+                if key == "timeout" and seconds is not None:
+                    return IDLE_TIMEOUT_FRACTION * seconds
     return DEFAULT_IDLE_TIMEOUT_SECONDS
 
 
--- a/src/hickorythread/platform/documents.py
+++ b/src/hickorythread/platform/documents.py
@@ -4,6 +4,7 @@
 import json
 from typing import Any
 
+from hickorythread import http_requests
 from hickorythread.mesh import models
 
 DRAINING_BY_PHASE = {"ready": False, "draining": True}
@@ -65,7 +66,7 @@
         raise DocumentError(f"unknown failure domain {zone!r:.40}")
     address = _require_text(document, "address")
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or http_requests.parse_count(port) is None:
         raise DocumentError(f"invalid address {address!r:.40}")
     return models.Target(
         target_id,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -125,6 +125,7 @@
         {"zone": "nowhere"},
         {"address": "nowhere"},
         {"address": None},
+        {"address": "10.0.0.1:²"},
         {"service": ""},
         {"concurrency": "12"},
         {"concurrency": 0},
@@ -293,6 +294,28 @@
     assert (probe.instance, probe.warmup) == ("i-1", 1.5)
 
 
+def test_answer_names_a_limit_and_the_end_of_its_target():
+    """Guards against a limit that is misread, or ended by a bad value."""
+
+    def read(*values):
+        fields = [["Server-Limit", value] for value in values]
+        response = headers.Headers().read_response(200, fields, b"")
+        return response.rate_limit, bool(response.unreadable)
+
+    assert read() == (None, False)
+    assert read("8.8") == (8.8, False)
+    assert read("0") == (0.0, False)
+    assert read("8", "8") == (8.0, False)
+    for value in ("", "-1", "nan", "1e9", "²", "8,9", "9" * 400, "0x8"):
+        assert read(value) == (None, True), value
+    assert read("8", "9") == (None, True)
+    for value, leaving in (("1", True), ("0", False), ("yes", False)):
+        response = headers.Headers().read_response(
+            200, [["server-leaving", value]], b""
+        )
+        assert response.leaving == leaving
+
+
 def test_answer_to_another_attempt_is_not_taken():
     """Guards against a late second response on a kept connection."""
     translator = headers.Headers()
