Promise "not run" only where the target has said so

A client could get the 503, 429, 408 or 421 of a target for a write that ran: these statuses promise that it did not, and the client sends it again (REFUSED, TWICE).

Cause: the node looked at the header that states "not run" to decide about another target, and passed every other response on with its status.

Change: such a status without that statement is an unknown outcome: a read may be repeated within the budget, a write ends with 502 and no stamp.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -37,6 +37,8 @@
 MIN_RETRY_RESERVE = 1.0
 INITIAL_RETRIES = 1.0
 MIN_SERVER_ERROR_STATUS = 500
+# Statuses that promise the client that its request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 Actions = list[events.Record]
 
@@ -340,6 +342,12 @@
         failed = message.status >= MIN_SERVER_ERROR_STATUS
         peer = self.placement.peer(pending.host_id)
         peer.record_result(failed, now)
+        if message.status in NOT_RUN_STATUSES:
+            # The target has not stated that the request did not run, so that
+            # its status must not promise that to the client.
+            return self._handle_unknown_outcome(
+                pending, 502, "unstated-refusal", now
+            )
         pending.runs += 1
         response = events.Response(
             message.status, message.headers, message.body, from_target=True
