Accept a late request of a stop only if it can be answered

In a planned stop clients saw their connection end without a response: requests taken up to 3.7 s into a grace time of 6 s were passed on, and cut at 5.3 s if their targets were still at work (LOST).

Cause: the end of acceptance was a share of the grace time, whatever time the request itself had left.

Change: StopPolicy decides, without I/O. What is still open at the exit gets 502 instead of a closed connection.

Why it works: a request that is accepted late has its response or its timeout before the process ends.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -17,6 +17,7 @@
 from hickorythread.mesh import placement
 from hickorythread.mesh import routing
 from hickorythread.mesh import settings as mesh_settings
+from hickorythread.mesh import stopping
 from hickorythread.mesh import view as mesh_view
 
 # A target may respond as late as the deadline. The reply then needs this long
@@ -66,6 +67,8 @@
         self.budget = retries.RetryBudget(initial=INITIAL_RETRIES)
         self.origins = origins.CallOrigins()
         self.router: routing.Router | None = None
+        # Set once the node is stopping.
+        self.stop: stopping.StopPolicy | None = None
         self.pending: dict[int, pending_request.PendingRequest] = {}
         self.by_number: dict[int, pending_request.PendingRequest] = {}
         self.timers: list[tuple[float, int]] = []
@@ -102,6 +105,8 @@
         )
         if now >= deadline:
             return self._respond(pending, 504, "deadline")
+        if self.stop and not self.stop.may_accept(deadline, now):
+            return self._give_up(pending, "stopping", now)
         probability = self.origins.retry_probability(
             route.name, running, running_retries
         )
@@ -230,6 +235,17 @@
             actions += self._respond(pending, 504, "timeout", now=now)
         return actions
 
+    def end(self, now: float) -> Actions:
+        """Respond to the requests that are open when the process ends.
+
+        Their calls go on at the targets, so that their outcome is unknown.
+        """
+        actions: Actions = []
+        for pending in list(self.pending.values()):
+            self._close(pending)
+            actions += self._respond(pending, 502, "stopping", now=now)
+        return actions
+
     def oldest_calls(self) -> dict[str, float]:
         """Return when the oldest open call to each remote host was sent."""
         oldest: dict[str, float] = {}
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -32,6 +32,7 @@
 from hickorythread.mesh import messages
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import settings_file
+from hickorythread.mesh import stopping
 from hickorythread.mesh import synchronizer
 from hickorythread.mesh import target_client
 from hickorythread.mesh import telemetry
@@ -51,10 +52,6 @@
 # Clients send requests until two readiness checks have failed.
 MIN_DRAIN_SECONDS = 3.2
 QUIET_PERIOD_SECONDS = 0.6
-# Requests are accepted for this fraction of the grace period. The responses
-# to later ones could not be sent before the process is killed.
-ACCEPT_FRACTION = 0.62
-EXIT_MARGIN_SECONDS = 0.7
 
 
 class Node(process.Process):
@@ -198,30 +195,31 @@
 
     def _drain(self) -> None:
         now = self.clock.monotonic()
+        stop = stopping.StopPolicy(self.settings.grace_seconds, now)
+        self.entry.stop = stop
         self.perform(self.execution.stop(now))
-        grace = self.settings.grace_seconds
-        self._wait_for_quiet_period(now, ACCEPT_FRACTION * grace)
+        self._wait_for_quiet_period(stop)
         # No more requests are read; those already read still get a response.
         self.accepting = False
         self.client_connections.draining = True
         for listener in self.listeners:
             listener.close()
-        deadline = now + grace - EXIT_MARGIN_SECONDS
-        while self._is_busy() and self.clock.monotonic() < deadline:
+        while self._is_busy() and self.clock.monotonic() < stop.ends_at:
             eventlet.sleep(TICK_SECONDS)
+        self.perform(self.entry.end(self.clock.monotonic()))
         # Allows the last responses to leave the socket buffers.
         eventlet.sleep(TICK_SECONDS)
         logs.info("node_stopped", unfinished=len(self.clients))
         self.finish(None)
 
-    def _wait_for_quiet_period(self, since: float, max_seconds: float) -> None:
+    def _wait_for_quiet_period(self, stop: stopping.StopPolicy) -> None:
         """Serve clients until none sends requests for QUIET_PERIOD_SECONDS."""
-        quiet_since = since
-        while (now := self.clock.monotonic()) < since + max_seconds:
+        quiet_since = stop.started_at
+        while (now := self.clock.monotonic()) < stop.accepts_until:
             if self._is_busy():
                 quiet_since = now
             if (
-                now - since >= MIN_DRAIN_SECONDS
+                now - stop.started_at >= MIN_DRAIN_SECONDS
                 and now - quiet_since >= QUIET_PERIOD_SECONDS
             ):
                 return
