Move reasons, probe times and open calls out of the two planes

Change: reasons.py, probes.py and open_calls.py, each with one job; an unreadable header line is logged once and not with every response. No decision changes.

--- a/src/hickorythread/mesh/admission.py
+++ b/src/hickorythread/mesh/admission.py
@@ -5,6 +5,7 @@
 
 from hickorythread import exceptions
 from hickorythread import token_bucket
+from hickorythread.mesh import reasons
 
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 1.0
@@ -24,12 +25,6 @@
 # response tells whether the limit has ended.
 TRIAL_RATE = 0.2
 
-# Reasons of refusals.
-EXPECTED_WAIT = "expected-wait"
-QUEUE_FULL = "queue-full"
-WAITED_TOO_LONG = "waited-too-long"
-RATE_LIMIT = "rate-limit"
-
 
 class SlotRequest:
     """Describe a request that needs a slot.
@@ -152,7 +147,7 @@
         if wait > self._max_wait(request, latency, now):
             return False, self.refusal(reason, wait)
         if len(self.queue) >= MAX_QUEUE_PER_SLOT * self.slots:
-            return False, self.refusal(QUEUE_FULL, wait)
+            return False, self.refusal(reasons.QUEUE_FULL, wait)
         self.last_sequence += 1
         heapq.heappush(
             self.queue, (request.priority, self.last_sequence, request)
@@ -180,8 +175,8 @@
         if self.rate_limit is not None:
             rate_wait = self.rate_limit.wait(ahead, now)
             if rate_wait > wait:
-                return RATE_LIMIT, rate_wait
-        return EXPECTED_WAIT, wait
+                return reasons.RATE_LIMIT, rate_wait
+        return reasons.EXPECTED_WAIT, wait
 
     def refusal(self, reason: str, wait: float = 0.0) -> exceptions.Refusal:
         """Return the refusal of a request that exceeds the capacity."""
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -1,6 +1,5 @@
 """Route client requests to targets and return the responses."""
 
-import heapq
 import math
 from typing import Any
 
@@ -8,13 +7,13 @@
 from hickorythread import interfaces
 from hickorythread import messages as base_messages
 from hickorythread import retries
-from hickorythread.mesh import admission
 from hickorythread.mesh import events
-from hickorythread.mesh import execution
 from hickorythread.mesh import messages
+from hickorythread.mesh import open_calls
 from hickorythread.mesh import origins
 from hickorythread.mesh import pending_request
 from hickorythread.mesh import placement
+from hickorythread.mesh import reasons
 from hickorythread.mesh import routing
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import stopping
@@ -30,7 +29,6 @@
 MIN_RETRY_SECONDS = 0.05
 STARTING_RETRY_AFTER_SECONDS = 0.5
 NO_TARGET_RETRY_AFTER_SECONDS = 0.4
-MAX_STALE_TIMERS = 256
 # Parts of the configured retry budget that are used. The rest is a reserve
 # for nodes that restart and for requests that go to fewer nodes than before.
 RETRY_SHARE = 0.9
@@ -69,9 +67,7 @@
         self.router: routing.Router | None = None
         # Set once the node is stopping.
         self.stop: stopping.StopPolicy | None = None
-        self.pending: dict[int, pending_request.PendingRequest] = {}
-        self.by_number: dict[int, pending_request.PendingRequest] = {}
-        self.timers: list[tuple[float, int]] = []
+        self.calls = open_calls.OpenCalls()
         self.update_retry_budget()
         # A restarted process must not reuse the call ids of its predecessor.
         self.last_call_id = random_source.getrandbits(48)
@@ -124,7 +120,7 @@
         self, host_id: str, message: base_messages.Reply, now: float
     ) -> Actions:
         """Handle the reply of the node on the host of a target."""
-        pending = self.pending.get(message.call_id)
+        pending = self.calls.by_call_id.get(message.call_id)
         if pending is None or pending.host_id != host_id:
             return [events.Log("late_reply", peer=host_id)]
         peer = self.placement.peer(host_id)
@@ -150,7 +146,7 @@
         """Retry or fail the calls to a node whose stream was lost."""
         self.placement.connected.discard(host_id)
         actions: Actions = []
-        for pending in self._calls_to(host_id):
+        for pending in self.calls.to_host(host_id):
             self._close(pending)
             actions += self._handle_unknown_outcome(
                 pending, 502, "stream-lost", now
@@ -177,7 +173,7 @@
         ]
         if not silent:
             return actions
-        for pending in self._calls_to(host_id):
+        for pending in self.calls.to_host(host_id):
             if pending.route.idempotent:
                 cancel = self._cancel(pending)
                 self._close(pending)
@@ -196,7 +192,7 @@
         peer.usable = message.usable
         if _is_load(message.load):
             peer.update_load(message.load, now)
-        if message.reason == execution.ENDING:
+        if message.reason == reasons.ENDING:
             target = self.view.targets.get(message.instance)
             if target is not None:
                 self.placement.note_ending(target)
@@ -213,7 +209,7 @@
 
     def client_disconnected(self, number: int, now: float) -> Actions:
         """Cancel the call of a client that has disconnected."""
-        pending = self.by_number.get(number)
+        pending = self.calls.by_number.get(number)
         if pending is None:
             return []
         cancel = self._cancel(pending)
@@ -223,10 +219,7 @@
     def tick(self, now: float) -> Actions:
         """Respond to the requests whose deadline has passed."""
         actions: Actions = []
-        while self.timers and self.timers[0][0] <= now:
-            pending = self.pending.get(heapq.heappop(self.timers)[1])
-            if pending is None:
-                continue
+        while (pending := self.calls.next_expired(now)) is not None:
             peer = self.placement.peer(pending.host_id)
             peer.record_result(True, now)
             cancel = self._cancel(pending)
@@ -241,17 +234,14 @@
         Their calls go on at the targets, so that their outcome is unknown.
         """
         actions: Actions = []
-        for pending in list(self.pending.values()):
+        for pending in list(self.calls.by_call_id.values()):
             self._close(pending)
             actions += self._respond(pending, 502, "stopping", now=now)
         return actions
 
     def oldest_calls(self) -> dict[str, float]:
         """Return when the oldest open call to each remote host was sent."""
-        oldest: dict[str, float] = {}
-        for pending in self.pending.values():
-            sent_at = oldest.get(pending.host_id, pending.sent_at)
-            oldest[pending.host_id] = min(sent_at, pending.sent_at)
+        oldest = self.calls.oldest_by_host()
         oldest.pop(self.settings.host_id, None)
         return oldest
 
@@ -293,8 +283,8 @@
         if target is None:
             log = self._log_no_target(pending, now)
             return [log, *self._give_up_without_target(pending, now)]
-        self.last_call_id = call_id = self.last_call_id + 1
-        pending.call_id = call_id
+        self.last_call_id += 1
+        pending.call_id = self.last_call_id
         pending.host_id = target.host_id
         pending.target_id = target.id
         pending.sent_at = now
@@ -302,12 +292,7 @@
         peer = self.placement.peer(target.host_id)
         peer.open_calls += 1
         peer.sent_since_report += 1
-        self.pending[call_id] = pending
-        self.by_number[pending.request.number] = pending
-        due = pending.deadline + RESPONSE_MARGIN_SECONDS
-        heapq.heappush(self.timers, (due, call_id))
-        if len(self.timers) > 2 * len(self.pending) + MAX_STALE_TIMERS:
-            self._rebuild_timers()
+        self.calls.add(pending, pending.deadline + RESPONSE_MARGIN_SECONDS)
         message = pending.make_forward(self.settings.service, now)
         return [events.Send(target.host_id, message)]
 
@@ -324,7 +309,7 @@
         if wait is None:
             return self._give_up(pending, "no-target", now)
         pending.retry_after = min(pending.retry_after, wait)
-        return self._give_up(pending, admission.RATE_LIMIT, now)
+        return self._give_up(pending, reasons.RATE_LIMIT, now)
 
     def _log_no_target(
         self, pending: pending_request.PendingRequest, now: float
@@ -410,26 +395,26 @@
             pending.retry_after = min(pending.retry_after, message.retry_after)
         reason = message.reason
         peer = self.placement.peer(pending.host_id)
-        if reason in execution.UNAVAILABLE_REASONS:
+        if reason in reasons.UNAVAILABLE:
             self.placement.suspend(pending.host_id, SUSPEND_SECONDS, now)
-        if reason == admission.RATE_LIMIT:
+        if reason == reasons.RATE_LIMIT:
             peer.record_rate_refusal(
                 pending.route.priority, message.retry_after, now
             )
-        if reason in execution.REJECTED_REASONS:
+        if reason in reasons.REJECTED:
             pending.rejections += 1
-        if reason == execution.SHED:
+        if reason == reasons.SHED:
             peer.record_result(True, now)
         if message.status == 429:
             return self._give_up(pending, reason, now)
-        if reason in execution.OVERLOAD_REASONS:
+        if reason in reasons.OVERLOAD:
             pending.overload_refusals += 1
         if (
             pending.overload_refusals >= MAX_OVERLOAD_REFUSALS
             or pending.refusals > MAX_REFUSALS
         ):
             return self._give_up(pending, reason, now)
-        if reason in execution.REJECTED_REASONS:
+        if reason in reasons.REJECTED:
             if not self.budget.take(pending.service):
                 return self._give_up(pending, "retry-budget", now)
         log = self._log("not_run", pending, now, reason=reason)
@@ -519,16 +504,8 @@
             ),
         ]
 
-    def _calls_to(self, host_id: str) -> list[pending_request.PendingRequest]:
-        return [
-            pending
-            for pending in self.pending.values()
-            if pending.host_id == host_id
-        ]
-
     def _close(self, pending: pending_request.PendingRequest) -> None:
-        del self.pending[pending.call_id]
-        self.by_number.pop(pending.request.number, None)
+        self.calls.remove(pending)
         self.placement.peer(pending.host_id).open_calls -= 1
 
     def _cancel(self, pending: pending_request.PendingRequest) -> events.Send:
@@ -536,12 +513,6 @@
             pending.host_id, base_messages.Cancel(pending.call_id)
         )
 
-    def _rebuild_timers(self) -> None:
-        self.timers = [
-            timer for timer in self.timers if timer[1] in self.pending
-        ]
-        heapq.heapify(self.timers)
-
     def _log(
         self,
         event: str,
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -10,15 +10,12 @@
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
 from hickorythread.mesh import models
+from hickorythread.mesh import probes
+from hickorythread.mesh import reasons
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import target_notices
 from hickorythread.mesh import view as mesh_view
 
-PROBE_INTERVAL_SECONDS = 0.25
-PROBE_TIMEOUT_SECONDS = 1.0
-# A target that has announced its end gets no requests, so that only a probe
-# shows whether another process has taken its place.
-ENDING_PROBE_SECONDS = 2.0
 DEFAULT_SLOTS = 4
 DEFAULT_HEALTH_PATH = "/healthz"
 MAX_FINISHED_CALLS = 4096
@@ -27,31 +24,6 @@
 # still stay within the limit.
 WARMUP_EXCESS_SHARE = 0.5
 
-# The target itself has said that it is about to end.
-ENDING = "ending"
-# Reasons for which the target refuses every request for some time.
-UNAVAILABLE_REASONS = frozenset(
-    (
-        "starting",
-        "stopping",
-        "leaving",
-        ENDING,
-        "evacuated",
-        "target-down",
-        "other-service",
-    )
-)
-# Reasons for which the target refuses a request while it is at capacity.
-OVERLOAD_REASONS = frozenset(
-    (admission.EXPECTED_WAIT, admission.QUEUE_FULL, admission.WAITED_TOO_LONG)
-)
-# The target itself rejected the request without running it. A node that sends
-# it to another target takes a token of the retry budget for that, since the
-# request has reached a target.
-SHED = "shed"
-OTHER_INSTANCE = "other-instance"
-REJECTED_REASONS = frozenset((SHED, OTHER_INSTANCE))
-
 CallKey = tuple[str, int]
 
 
@@ -110,8 +82,7 @@
         self.last_run_id = 0
         self.instance = ""
         self.registration: models.Target | None = None
-        self.probing = False
-        self.probed_at = -PROBE_INTERVAL_SECONDS
+        self.probes = probes.ProbeSchedule()
         self.warmup_ends_at = now
         self.down = True
         self.stopping = False
@@ -197,15 +168,15 @@
         if response.status == 421 and response.not_run:
             # Another instance of the target responds at the address.
             self.admission.release_slot()
-            refusal = self._reply_not_run(run, 503, OTHER_INSTANCE)
-            return refusal + self._pause(OTHER_INSTANCE, now)
+            refusal = self._reply_not_run(run, 503, reasons.OTHER_INSTANCE)
+            return refusal + self._pause(reasons.OTHER_INSTANCE, now)
         actions: list[events.Record] = []
         if run.instance == self.instance:
             actions = self._note_response(response, "response", now)
         if response.not_run:
             self.admission.release_slot()
             status = 503 if response.status < 500 else response.status
-            actions += self._reply_not_run(run, status, SHED)
+            actions += self._reply_not_run(run, status, reasons.SHED)
             return actions + self._start_next(now)
         self.admission.release_slot(run.call.route, latency)
         reply = self._make_reply(
@@ -245,14 +216,14 @@
         self, result: events.TargetResponse | events.Failure, now: float
     ) -> list[events.Record]:
         """Handle the result of a probe; a response ends the pause."""
-        self.probing = False
+        self.probes.running = False
         interrupted_runs, self.interrupted_runs = self.interrupted_runs, []
         actions: list[events.Record] = []
         if isinstance(result, events.Failure):
             self.down = True
             for run in interrupted_runs:
                 actions += self._report_crash(run, now)
-            # The first tick after PROBE_INTERVAL_SECONDS sends the next probe.
+            # A later tick sends the next probe.
             return actions + self._announce(now)
         was_down, self.down = self.down, False
         is_healthy = result.status == 200 and not result.leaving
@@ -296,7 +267,7 @@
         self.quarantine.expire(now)
         actions: list[events.Record] = []
         for slot_request in self.admission.remove_expired(now):
-            refusal = self.admission.refusal(admission.WAITED_TOO_LONG)
+            refusal = self.admission.refusal(reasons.WAITED_TOO_LONG)
             actions += self._refuse(slot_request.item, refusal)
         reason = self._unavailable_reason()
         if reason:
@@ -304,7 +275,8 @@
                 lambda slot_request: True
             ):
                 actions += self._reply_not_run(slot_request.item, 503, reason)
-        if self._probe_is_due(now):
+        paused = self.admission.paused
+        if self.probes.is_due(paused, self.notices.ending, now):
             actions += self._probe(now)
         return actions + self._start_next(now) + self._announce(now)
 
@@ -330,29 +302,29 @@
     def _unavailable_reason(self) -> str:
         """Return why the target accepts no requests, empty if it does."""
         if self.stopping:
-            return "stopping"
+            return reasons.STOPPING
         if self.view.configuration is None:
-            return "starting"
+            return reasons.STARTING
         if self.down:
-            return "target-down"
+            return reasons.TARGET_DOWN
         if self.settings.failure_domain in self.view.evacuated:
-            return "evacuated"
+            return reasons.EVACUATED
         if self.notices.ending:
-            return ENDING
+            return reasons.ENDING
         target = self.view.targets.get(self.instance)
         if target is None:
             departed = self.instance in self.view.departed
-            return "leaving" if departed else ""
+            return reasons.LEAVING if departed else ""
         if target.service != self.settings.service:
-            return "other-service"
-        return "leaving" if target.draining else ""
+            return reasons.OTHER_SERVICE
+        return reasons.LEAVING if target.draining else ""
 
     def _check_call(
         self, call: messages.Forward, now: float
     ) -> exceptions.Refusal | None:
         if call.service != self.settings.service:
             return exceptions.Refusal(
-                503, "other-service", "host runs another service"
+                503, reasons.OTHER_SERVICE, "host runs another service"
             )
         reason = self._unavailable_reason()
         if reason:
@@ -463,24 +435,12 @@
         """Start no requests until a probe identifies the target."""
         self.admission.paused = True
         log = events.Log("target_paused", reason=reason)
-        if self.probing:
+        if self.probes.running:
             return [log]
         return [log, *self._probe(now)]
 
-    def _probe_is_due(self, now: float) -> bool:
-        if self.probing:
-            interval = PROBE_TIMEOUT_SECONDS
-        elif self.admission.paused:
-            interval = PROBE_INTERVAL_SECONDS
-        elif self.notices.ending:
-            interval = ENDING_PROBE_SECONDS
-        else:
-            return False
-        return now - self.probed_at >= interval
-
     def _probe(self, now: float) -> list[events.Record]:
-        self.probing = True
-        self.probed_at = now
+        self.probes.start(now)
         service = self.service
         path = service.health_path if service else DEFAULT_HEALTH_PATH
         return [events.Probe(path)]
@@ -539,7 +499,9 @@
     def state(self) -> messages.TargetState:
         """Return the announcement to send to a newly connected node."""
         reason = (
-            self.announced_state[0] if self.announced_state else "target-down"
+            self.announced_state[0]
+            if self.announced_state
+            else reasons.TARGET_DOWN
         )
         return messages.TargetState(
             self.settings.service,
--- /dev/null
+++ b/src/hickorythread/mesh/probes.py
@@ -0,0 +1,37 @@
+"""Decides when to probe the target on this host."""
+
+INTERVAL_SECONDS = 0.25
+TIMEOUT_SECONDS = 1.0
+# A target that has announced its end gets no requests, so that only a probe
+# shows whether another process has taken its place.
+ENDING_INTERVAL_SECONDS = 2.0
+
+
+class ProbeSchedule:
+    """Hold whether a probe is running and when the last one was sent."""
+
+    __slots__ = ("running", "sent_at")
+
+    def __init__(self) -> None:
+        self.running = False
+        self.sent_at = -INTERVAL_SECONDS
+
+    def start(self, now: float) -> None:
+        """Record that a probe was sent."""
+        self.running = True
+        self.sent_at = now
+
+    def is_due(self, paused: bool, ending: bool, now: float) -> bool:
+        """Return whether to probe a target that is paused or about to end.
+
+        A probe without a result is repeated after its timeout.
+        """
+        if self.running:
+            interval = TIMEOUT_SECONDS
+        elif paused:
+            interval = INTERVAL_SECONDS
+        elif ending:
+            interval = ENDING_INTERVAL_SECONDS
+        else:
+            return False
+        return now - self.sent_at >= interval
--- a/src/hickorythread/mesh/target_notices.py
+++ b/src/hickorythread/mesh/target_notices.py
@@ -10,30 +10,35 @@
     None if it names none. It holds until a response names another one or
     none. ending is True once the target has said that it is about to end; a
     process does not take that back. starts counts the requests that started
-    since the limit last changed.
+    since the limit last changed, and unreadable holds the lines of the last
+    response that could not be read.
     """
 
-    __slots__ = ("rate_limit", "ending", "starts")
+    __slots__ = ("rate_limit", "ending", "starts", "unreadable")
 
     def __init__(self) -> None:
-        self.rate_limit: float | None = None
-        self.ending = False
-        self.starts = 0
+        self.reset()
 
     def reset(self) -> None:
         """Forget everything, because another process has started."""
-        self.rate_limit = None
+        self.rate_limit: float | None = None
         self.ending = False
         self.starts = 0
+        self.unreadable: tuple[str, ...] = ()
 
     def record(
         self, response: events.TargetResponse, instance: str, source: str
     ) -> list[events.Record]:
         """Store what a response says; return the lines that log changes."""
-        logs: list[events.Record] = [
-            events.Log("target_header_ignored", instance=instance, line=line)
-            for line in response.unreadable
-        ]
+        logs: list[events.Record] = []
+        if response.unreadable != self.unreadable:
+            self.unreadable = response.unreadable
+            logs += [
+                events.Log(
+                    "target_header_ignored", instance=instance, line=line
+                )
+                for line in response.unreadable
+            ]
         limit = response.rate_limit
         if limit != self.rate_limit and not response.unreadable:
             logs.append(
--- a/tests/mesh_network.py
+++ b/tests/mesh_network.py
@@ -53,8 +53,8 @@
             view, self.number, self.network.now, alive=False
         )
         # The first probe was not executed; the next tick issues another one.
-        self.execution.probing = False
-        self.execution.probed_at = -1.0
+        self.execution.probes.running = False
+        self.execution.probes.sent_at = -1.0
 
     def perform(self, actions):
         for action in actions:
--- a/tests/test_mesh_machine.py
+++ b/tests/test_mesh_machine.py
@@ -119,7 +119,9 @@
     @stateful.invariant()
     def nothing_is_left_over(self):
         for node in self.network.nodes:
-            assert len(node.entry.by_number) == len(node.entry.pending)
+            assert len(node.entry.calls.by_number) == len(
+                node.entry.calls.by_call_id
+            )
             for peer in node.entry.placement.peers.values():
                 assert peer.open_calls >= 0
             assert node.execution.admission.running >= 0
@@ -129,7 +131,7 @@
             self.network.deliver(0)
         self.network.advance(100)
         for node in self.network.nodes:
-            assert not node.entry.pending
+            assert not node.entry.calls.by_call_id
 
 
 MeshMachine.TestCase.settings = hypothesis.settings(
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -45,13 +45,13 @@
     (call,) = build.sent_messages(
         plane.request(build.make_request(), 0.0), Forward
     )
-    first = plane.pending[call.call_id].host_id
+    first = plane.calls.by_call_id[call.call_id].host_id
     reply = build.make_reply(
         call.call_id, messages.NOT_RUN, 503, reason="expected-wait"
     )
     actions = plane.reply(first, reply, 0.01)
     (again,) = build.sent_messages(actions, Forward)
-    assert plane.pending[again.call_id].host_id != first
+    assert plane.calls.by_call_id[again.call_id].host_id != first
 
 
 @pytest.mark.parametrize("reason", ["lost", "timeout", "cut-reply"])
@@ -61,7 +61,7 @@
     (call,) = build.sent_messages(
         plane.request(build.make_request(), 0.0), Forward
     )
-    host_id = plane.pending[call.call_id].host_id
+    host_id = plane.calls.by_call_id[call.call_id].host_id
     reply = build.make_reply(
         call.call_id, messages.UNKNOWN, 502, reason=reason
     )
@@ -76,7 +76,7 @@
     (call,) = build.sent_messages(
         plane.request(build.make_request(), 0.0), Forward
     )
-    host_id = plane.pending[call.call_id].host_id
+    host_id = plane.calls.by_call_id[call.call_id].host_id
     (response,) = responses(plane.peer_lost(host_id, 0.01))
     assert response.status == 502
 
@@ -90,14 +90,14 @@
     (call,) = build.sent_messages(
         plane.request(build.make_request(), 0.0), Forward
     )
-    host_id = plane.pending[call.call_id].host_id
+    host_id = plane.calls.by_call_id[call.call_id].host_id
     reply = build.make_reply(call.call_id, messages.UNKNOWN, 502)
     actions = plane.reply(host_id, reply, 0.01)
     for _ in range(6):
         calls = build.sent_messages(actions, Forward)
         if not calls:
             break
-        host_id = plane.pending[calls[0].call_id].host_id
+        host_id = plane.calls.by_call_id[calls[0].call_id].host_id
         reply = build.make_reply(
             calls[0].call_id, messages.NOT_RUN, 503, reason="expected-wait"
         )
@@ -112,7 +112,7 @@
     runs = 0
     while calls := build.sent_messages(actions, Forward):
         runs += 1
-        host_id = plane.pending[calls[0].call_id].host_id
+        host_id = plane.calls.by_call_id[calls[0].call_id].host_id
         reply = build.make_reply(calls[0].call_id, messages.COMPLETE, 500)
         actions = plane.reply(host_id, reply, 0.01)
     assert runs == 2
@@ -123,7 +123,7 @@
 def fail_at_target(plane, actions, status=500):
     """Let the called target respond with an error status."""
     (call,) = build.sent_messages(actions, Forward)
-    host_id = plane.pending[call.call_id].host_id
+    host_id = plane.calls.by_call_id[call.call_id].host_id
     reply = build.make_reply(call.call_id, messages.COMPLETE, status)
     return plane.reply(host_id, reply, 0.01)
 
@@ -134,7 +134,7 @@
     plane = build.make_entry()
     actions = fail_at_target(plane, plane.request(build.make_request(), 0.0))
     (again,) = build.sent_messages(actions, Forward)
-    host_id = plane.pending[again.call_id].host_id
+    host_id = plane.calls.by_call_id[again.call_id].host_id
     if end == "timeout":
         actions = plane.tick(1.1)
     else:
@@ -144,7 +144,7 @@
         )
         actions = plane.reply(host_id, reply, 0.02)
         while calls := build.sent_messages(actions, Forward):
-            host_id = plane.pending[calls[0].call_id].host_id
+            host_id = plane.calls.by_call_id[calls[0].call_id].host_id
             reply = build.make_reply(
                 calls[0].call_id, outcome[end], 503, reason="leaving"
             )
@@ -167,12 +167,12 @@
     for number in range(1, 201):
         request = build.make_request(number)
         (call,) = build.sent_messages(plane.request(request, 0.0), Forward)
-        host_id = plane.pending[call.call_id].host_id
+        host_id = plane.calls.by_call_id[call.call_id].host_id
         reply = build.make_reply(call.call_id, messages.UNKNOWN, 502)
         actions = plane.reply(host_id, reply, 0.01)
         if calls := build.sent_messages(actions, Forward):
             repeats += 1
-            pending = plane.pending[calls[0].call_id]
+            pending = plane.calls.by_call_id[calls[0].call_id]
             done = build.make_reply(calls[0].call_id, messages.COMPLETE)
             plane.reply(pending.host_id, done, 0.02)
     # The limit of one of three nodes: a third of the slack plus its share.
@@ -207,7 +207,7 @@
     actions = plane.peer_silent("10.0.0.2", True, 0.5)
     (call,) = build.sent_messages(actions, Forward)
     assert call.route == "specs"
-    assert [item.route.name for item in plane.pending.values()] == [
+    assert [item.route.name for item in plane.calls.by_call_id.values()] == [
         "orders",
         "specs",
     ]
@@ -219,7 +219,7 @@
     assert not responses(plane.tick(1.0))
     (response,) = responses(plane.tick(1.1))
     assert response.status == 504
-    assert not plane.pending and not plane.by_number
+    assert not plane.calls.by_call_id and not plane.calls.by_number
 
 
 def test_late_reply_of_an_earlier_call_is_dropped():
@@ -228,7 +228,7 @@
     (call,) = build.sent_messages(
         plane.request(build.make_request(), 0.0), Forward
     )
-    host_id = plane.pending[call.call_id].host_id
+    host_id = plane.calls.by_call_id[call.call_id].host_id
     reply = build.make_reply(call.call_id - 1, messages.COMPLETE, body=b"x")
     assert not responses(plane.reply(host_id, reply, 0.01))
     other = build.make_reply(call.call_id, messages.COMPLETE, body=b"x")
@@ -467,7 +467,7 @@
     (call,) = build.sent_messages(
         plane.request(build.make_request(), 0.0), messages.Forward
     )
-    host_id = next(iter(plane.pending.values())).host_id
+    host_id = next(iter(plane.calls.by_call_id.values())).host_id
     reply = build.make_reply(call.call_id, messages.COMPLETE, 503)
     (respond,) = build.of_type(
         plane.reply(host_id, reply, 0.1), events.Respond
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -609,7 +609,7 @@
     (sent,) = mesh_builders.sent_messages(
         entry.request(request, 0.0), mesh_messages.Forward
     )
-    host_id = entry.pending[sent.call_id].host_id
+    host_id = entry.calls.by_call_id[sent.call_id].host_id
     for message in received_messages:
         if isinstance(message, messages.Reply):
             message.call_id = sent.call_id
