--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -12,6 +12,7 @@
 from hickorythread.mesh import links
 from hickorythread.mesh import placement
 from hickorythread.mesh import routing
+from hickorythread.mesh import stopping
 from hickorythread.mesh import watcher
 from tests import mesh_builders as build
 
@@ -476,3 +477,47 @@
     regions.update(b="north", c="south")
     chooser.targets_changed()
     assert chooser.choose(targets, route, frozenset(), (), 0.0).id == "t1"
+
+
+def test_spent_limit_excludes_a_target_for_what_is_no_more_urgent():
+    """Guards against urgent requests that a less urgent refusal keeps out."""
+    made_view = build.make_view(targets=1)
+    selector = build.make_entry(made_view, connected=1).placement
+    targets = made_view.by_service["spec-desk"]
+    selector.peer("10.0.0.1").record_rate_refusal(1, 0.2, 10.0)
+    waits = {
+        (priority, now): selector.rate_limit_wait(
+            targets, build.make_route(priority=priority), NO_DOMAINS, now
+        )
+        for priority in (0, 1, 2)
+        for now in (10.1, 10.3)
+    }
+    assert waits[0, 10.1] is None
+    assert waits[1, 10.1] == pytest.approx(0.1)
+    assert waits[2, 10.1] == pytest.approx(0.1)
+    assert {waits[priority, 10.3] for priority in (0, 1, 2)} == {None}
+
+
+def test_lower_limit_refuses_what_can_no_longer_be_served():
+    """Guards against requests that wait for their deadline in vain."""
+    controller = make_admission(slots=100)
+    controller.set_rate_limit(50.0, 0.0)
+    for _ in range(20):
+        assert controller.offer(make_slot_request(), 0.0) == (False, None)
+    controller.set_rate_limit(2.0, 0.0)
+    removed = controller.remove_expired(0.0)
+    # At 2 starts a second three begin within the deadline of 2 s.
+    assert len(removed) == 17 and len(controller.queue) == 3
+    runs, refusal = controller.offer(make_slot_request(), 0.0)
+    assert not runs and refusal.reason == "rate-limit"
+    controller.set_rate_limit(None, 0.0)
+    assert controller.next_ready(0.0) is not None
+
+
+def test_late_request_of_a_stop_needs_time_for_its_response():
+    """Guards against a request that is accepted and cut by the exit."""
+    stop = stopping.StopPolicy(6.0, 100.0)
+    assert stop.may_accept(deadline=200.0, now=102.8)
+    assert not stop.may_accept(deadline=105.2, now=102.9)
+    assert stop.may_accept(deadline=105.1, now=103.7)
+    assert stop.ends_at < 106.0
