Read a rate limit with all the digits of a binary fraction

Cause: one bound for the digits before and after the point.

Change: up to 64 digits after it, which bounds the work and fits any value that a target prints.

Evidence: test_answer_names_a_limit_and_the_end_of_its_target read None for that value before and 13/3 now.

--- a/src/hickorythread/platform/headers.py
+++ b/src/hickorythread/platform/headers.py
@@ -38,7 +38,8 @@
     | {TARGET_LOAD, WARMUP_MS}
 )
 _MAX_MS = 600_000
-_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+# A binary fraction that is written out in full has more than 50 digits.
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,64})?")
 _MISDIRECTED_REQUEST = 421
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -306,6 +306,7 @@
     assert read("8.8") == (8.8, False)
     assert read("0") == (0.0, False)
     assert read("8", "8") == (8.0, False)
+    assert read("4.3333333333333333") == (13 / 3, False)
     for value in ("", "-1", "nan", "1e9", "²", "8,9", "9" * 400, "0x8"):
         assert read(value) == (None, True), value
     assert read("8", "9") == (None, True)
