Let only the response to a request end a rate limit

Cause: a probe without the header was taken for the end of the limit.

Evidence: test_probe_without_a_limit_does_not_end_it failed before and passes.

--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -172,7 +172,9 @@
             return refusal + self._pause(reasons.OTHER_INSTANCE, now)
         actions: list[events.Record] = []
         if run.instance == self.instance:
-            actions = self._note_response(response, "response", now)
+            actions = self._note_response(
+                response, target_notices.RESPONSE, now
+            )
         if response.not_run:
             self.admission.release_slot()
             status = 503 if response.status < 500 else response.status
@@ -241,7 +243,7 @@
             )
             self.instance = result.instance
             self._apply_registration(now)
-        actions += self._note_response(result, "probe", now)
+        actions += self._note_response(result, target_notices.PROBE, now)
         if result.warmup is not None:
             self._start_warmup(result.warmup, now)
         if self.admission.paused and self.instance:
--- a/src/hickorythread/mesh/target_notices.py
+++ b/src/hickorythread/mesh/target_notices.py
@@ -2,13 +2,17 @@
 
 from hickorythread.mesh import events
 
+# What said it: the response to a request, or that to a health probe.
+RESPONSE = "response"
+PROBE = "probe"
+
 
 class TargetNotices:
     """Follow the rate limit and the announced end of one target process.
 
     rate_limit is the number of requests per second that the target accepts,
     None if it names none. It holds until a response names another one or
-    none. ending is True once the target has said that it is about to end; a
+    none; a probe without one says nothing of it. ending is True once the target has said that it is about to end; a
     process does not take that back. starts counts the requests that started
     since the limit last changed, and unreadable holds the lines of the last
     response that could not be read.
@@ -40,7 +44,10 @@
                 for line in response.unreadable
             ]
         limit = response.rate_limit
-        if limit != self.rate_limit and not response.unreadable:
+        says_limit = limit is not None or source == RESPONSE
+        if response.unreadable:
+            says_limit = False
+        if says_limit and limit != self.rate_limit:
             logs.append(
                 events.Log(
                     "target_rate_limit",
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -460,6 +460,20 @@
     assert plane.state().usable == usable
 
 
+def test_probe_without_a_limit_does_not_end_it():
+    """Guards against a limit lost to a health check that names none."""
+    plane = build.make_execution()
+    plane.call("10.0.0.2", build.make_call(1), 0.0)
+    answer = events.TargetResponse(200, [], b"ok", rate_limit=2.0)
+    plane.handle_response(1, answer, 0.1)
+    answer = events.TargetResponse(200, [], b"", instance="t1")
+    plane.handle_probe_result(answer, 0.2)
+    assert plane.notices.rate_limit == 2.0
+    answer = events.TargetResponse(200, [], b"", instance="another")
+    plane.handle_probe_result(answer, 0.3)
+    assert plane.notices.rate_limit is None
+
+
 def test_node_remembers_a_leaving_target_when_its_peer_does_not():
     """Guards against requests to a leaving target after its node restarts."""
     made_view = build.make_view()
