Tell a client when the next start under a limit is due

A client that was refused without a call was told to return after at most 0.25 s, also where the next start was 0.9 s away, so that its retries were spent in vain.

Cause: the time for which a refusal is remembered stood for the time of the next start.

Change: both are kept; Retry-After names the earliest start.

Evidence: test_refusal_without_a_call_names_the_next_start got 0.15 s instead of 0.6 s before and passes.

--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -41,7 +41,8 @@
     sent_since_report the calls that this node sent later, and open_calls its
     calls without a reply. Until rate_refused_until, the target has no starts
     left under its rate limit for requests that are not more urgent than
-    rate_refused_priority.
+    rate_refused_priority; the next start for them is expected at
+    rate_start_at, which may be later.
     """
 
     __slots__ = (
@@ -56,6 +57,7 @@
         "suspended_until",
         "rate_refused_until",
         "rate_refused_priority",
+        "rate_start_at",
         "usable",
         "silent",
     )
@@ -72,6 +74,7 @@
         self.suspended_until = 0.0
         self.rate_refused_until = 0.0
         self.rate_refused_priority = 0
+        self.rate_start_at = 0.0
         self.usable = True
         self.silent = False
 
@@ -113,6 +116,7 @@
         if not self.rate_refuses(priority, now):
             self.rate_refused_priority = priority
             self.rate_refused_until = now + min(wait, MAX_RATE_REFUSAL_SECONDS)
+            self.rate_start_at = now + wait
 
     def rate_refuses(self, priority: int, now: float) -> bool:
         """Return whether a recent refusal covers requests of a priority."""
@@ -279,13 +283,13 @@
         evacuated: frozenset[str],
         now: float,
     ) -> float | None:
-        """Return the seconds until a rate limit may allow a request again.
+        """Return the seconds until a rate limit is to allow a request again.
 
         Returns None if rate limits exclude none of the targets.
         """
         return min(
             (
-                self.peer(target.host_id).rate_refused_until - now
+                self.peer(target.host_id).rate_start_at - now
                 for target in targets
                 if self.exclusion(target, route, evacuated, now)
                 == RATE_LIMITED
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -498,6 +498,19 @@
     assert {waits[priority, 10.3] for priority in (0, 1, 2)} == {None}
 
 
+def test_refusal_without_a_call_names_the_next_start():
+    """Guards against clients that return before a start is due."""
+    made_view = build.make_view(targets=2)
+    plane = build.make_entry(made_view, connected=2)
+    for host_id, wait in (("10.0.0.1", 0.9), ("10.0.0.2", 0.7)):
+        plane.placement.peer(host_id).record_rate_refusal(0, wait, 0.0)
+    actions = plane.request(build.make_request(), 0.1)
+    (respond,) = build.of_type(actions, events.Respond)
+    assert respond.response.status == 503
+    assert respond.response.reason == "rate-limit"
+    assert respond.response.retry_after == pytest.approx(0.6)
+
+
 def test_lower_limit_refuses_what_can_no_longer_be_served():
     """Guards against requests that wait for their deadline in vain."""
     controller = make_admission(slots=100)
