Play limits at targets whose nodes are frozen or cut off

Cause: the simulated load played limits with restarts only, while calls also pile up in the sockets of a node that stands still or is cut off.

Change: hosts of the simulation can be frozen and cut off; a test checks the arrivals in each 4 s at limited targets around that.

--- a/tests/mesh_load.py
+++ b/tests/mesh_load.py
@@ -61,6 +61,10 @@
         # The limit that the target names, and (time, limit) of each change.
         self.rate_limit = None
         self.named_limits = []
+        # A frozen host handles what came meanwhile at the first time, a host
+        # that is cut off exchanges messages again at the second.
+        self.awake_at = 0.0
+        self.reachable_at = 0.0
         self.settings = build.make_settings(
             number, failure_domain=domain, regions=REGIONS, service=service
         )
@@ -84,6 +88,21 @@
         self.rate_limit = rate
         self.named_limits.append((self.simulation.now, rate))
 
+    def freeze(self, seconds):
+        """Let this host handle nothing for some seconds."""
+        self.awake_at = self.simulation.now + seconds
+
+    def cut_off(self, seconds):
+        """Hold the messages from and to this host for some seconds."""
+        self.reachable_at = self.simulation.now + seconds
+
+    def delay(self, function, *arguments):
+        """Return whether an event has to wait until this host is awake."""
+        if self.simulation.now >= self.awake_at:
+            return False
+        self.simulation.schedule(self.awake_at, function, *arguments)
+        return True
+
     def perform(self, actions):
         for action in actions:
             if isinstance(action, events.Send):
@@ -116,6 +135,8 @@
         )
 
     def receive(self, sender, message):
+        if self.delay(self.receive, sender, message):
+            return
         now = self.simulation.now
         if isinstance(message, base_messages.Reply):
             self.perform(self.entry.reply(sender, message, now))
@@ -223,6 +244,8 @@
             function(*arguments)
 
     def tick(self, host):
+        if host.delay(self.tick, host):
+            return
         host.perform(host.entry.tick(self.now))
         host.perform(host.execution.tick(self.now))
         self.schedule(self.now + TICK_SECONDS, self.tick, host)
@@ -239,6 +262,10 @@
     def request(
         self, host, name, started_at, retries, on_done, by_retry=False
     ):
+        if host.delay(
+            self.request, host, name, started_at, retries, on_done, by_retry
+        ):
+            return
         kind = self.kinds[name]
         self.last_number += 1
         remaining = kind.deadline - (self.now - started_at)
@@ -312,6 +339,8 @@
         if isinstance(message, messages.Forward):
             self.sends += 1
             self.cross_domain_sends += other.domain != host.domain
+            delay += max(self.now, host.reachable_at, other.reachable_at)
+            delay -= self.now
         self.schedule(self.now + delay, other.receive, host.host_id, message)
 
     def record_arrival(self, host, request_id):
@@ -395,6 +424,8 @@
         self.request(host, calls[0], self.now, 0, on_done, is_retry)
 
     def finish(self, host, action, answer):
+        if host.delay(self.finish, host, action, answer):
+            return
         run = host.execution.runs.get(action.run_id)
         if run is not None and run.call is action.call:
             answer.rate_limit = host.rate_limit
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -75,6 +75,19 @@
     assert max(max_excess(load, host) for host in hosts) <= 0.0
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_limit_holds_at_hosts_that_were_frozen_or_cut_off(seed):
+    """Guards against the calls that pile up and start all at once."""
+    load = mesh_load.guild(0.8, seed)
+    hosts = limit_some_targets(load)
+    for when, index in ((4.5, 1), (10.0, 0), (12.0, 1)):
+        host = load.hosts[hosts[index]]
+        load.schedule(when, host.freeze, 4.0)
+        load.schedule(when + 4.5, host.cut_off, 1.0)
+    load.simulate(SECONDS)
+    assert max(max_excess(load, host) for host in hosts) <= 0.0
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_requests_beyond_the_limits_of_all_targets_are_refused_at_once(seed):
     """Guards against callers that wait for a rate that is spent."""
