Use starts of limited targets and far targets when the near ones are full

Clients got 503 at once while other targets had room: with limits at 70 % of 60 targets at a quarter of the full load, 6 % of the requests.

Cause: after a refusal a limited target counted as full for seconds, however fast its starts come, so that hardly any request went there (3 in 10 s); the load moved to the near targets without a limit, whose refusals passed for proof that the far ones are full too.

Change: a load report tells the start rate of a limited target, and its missing starts come back at that rate. While a target of the service has named a limit, two full targets do not end the search (four refusals do), and from the second refusal on a request goes where the load is low at any distance. It answers the load that limits move; without limits nothing changes but the choice after two refusals that are no overload.

--- a/src/hickorythread/mesh/admission.py
+++ b/src/hickorythread/mesh/admission.py
@@ -82,18 +82,28 @@
         return max(1, min(self.slots, round(rate * self.latency)))
 
     def load(self, route: str = "") -> list[int]:
-        """Return the running and queued requests, the limit and a latency.
+        """Return running and queued requests, limit, latency and start rate.
 
         The latency is that of the route in ms, or 0 if it is not known. Under
         a rate limit, a target with free slots counts as full by the starts
-        that it lacks: what a request waits for is a start and not a slot.
+        that it lacks: what a request waits for is a start and not a slot. The
+        start rate is the limit in starts per 1,000 s, or 0 if there is none.
         """
         latency = self.latencies.get(route, 0.0)
         limit = self.limit
         running = self.running
-        if self.rate_limit is not None and running < self.slots:
-            running = max(0, limit - int(self.rate_limit.tokens))
-        return [running, len(self.queue), limit, int(latency * 1000)]
+        start_rate = 0.0
+        if self.rate_limit is not None:
+            start_rate = self.rate_limit.rate
+            if running < self.slots:
+                running = max(0, limit - int(self.rate_limit.tokens))
+        return [
+            running,
+            len(self.queue),
+            limit,
+            int(latency * 1000),
+            int(start_rate * 1000),
+        ]
 
     def set_rate_limit(self, rate: float | None, now: float) -> None:
         """Limit the starts per second; None ends the limit.
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -24,8 +24,12 @@
 RESPONSE_MARGIN_SECONDS = 0.08
 SUSPEND_SECONDS = 0.5
 MAX_REFUSALS = 3
-# When two targets of a service are at capacity, the others probably are too.
+# When two targets of a service are at capacity, the others probably are too,
+# unless rate limits of some targets have moved the load to these two.
 MAX_OVERLOAD_REFUSALS = 2
+# Near targets that refuse are full. From so many refusals on a request goes
+# where the load is low, at any distance.
+LOCAL_REFUSALS = 2
 MIN_RETRY_SECONDS = 0.05
 STARTING_RETRY_AFTER_SECONDS = 0.5
 NO_TARGET_RETRY_AFTER_SECONDS = 0.4
@@ -279,6 +283,7 @@
             self.view.evacuated,
             pending.tried_hosts,
             now,
+            ignore_distance=pending.refusals >= LOCAL_REFUSALS,
         )
         if target is None:
             log = self._log_no_target(pending, now)
@@ -409,10 +414,7 @@
             return self._give_up(pending, reason, now)
         if reason in reasons.OVERLOAD:
             pending.overload_refusals += 1
-        if (
-            pending.overload_refusals >= MAX_OVERLOAD_REFUSALS
-            or pending.refusals > MAX_REFUSALS
-        ):
+        if self._is_refused_for_good(pending):
             return self._give_up(pending, reason, now)
         if reason in reasons.REJECTED:
             if not self.budget.take(pending.service):
@@ -420,6 +422,17 @@
         log = self._log("not_run", pending, now, reason=reason)
         return [log, *self._dispatch(pending, now)]
 
+    def _is_refused_for_good(
+        self, pending: pending_request.PendingRequest
+    ) -> bool:
+        """Return whether further targets would probably refuse as well."""
+        if pending.refusals > MAX_REFUSALS:
+            return True
+        if pending.overload_refusals < MAX_OVERLOAD_REFUSALS:
+            return False
+        targets = self.view.by_service.get(pending.service, ())
+        return not self.placement.has_rate_limit(targets)
+
     def _handle_unknown_outcome(
         self,
         pending: pending_request.PendingRequest,
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -516,7 +516,7 @@
     def _log(
         self, event: str, call: messages.Forward, **values: Any
     ) -> events.Log:
-        running, waiting, limit, _ = self.admission.load()
+        running, waiting, limit, *_ = self.admission.load()
         return events.Log(
             event,
             request=call.request_id,
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -91,8 +91,9 @@
 class TargetState(messages.Message):
     """Announce whether the target on the sender's host accepts requests.
 
-    load holds the running and queued requests, the limit and a latency in ms.
-    instance is the id of the target, empty if it is not known.
+    load holds the running and queued requests, the limit, a latency in ms and
+    the starts per 1,000 s under a rate limit, 0 without one. instance is the
+    id of the target, empty if it is not known.
     """
 
     __slots__ = ("service", "usable", "reason", "load", "instance")
--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -39,15 +39,17 @@
 
     load counts the running and queued requests at reported_at,
     sent_since_report the calls that this node sent later, and open_calls its
-    calls without a reply. Until rate_refused_until, the target has no starts
-    left under its rate limit for requests that are not more urgent than
-    rate_refused_priority; the next start for them is expected at
+    calls without a reply. start_rate is the number of starts per second under
+    the target's rate limit, 0 if it names none. Until rate_refused_until, the
+    target has no starts left under that limit for requests that are not more
+    urgent than rate_refused_priority; the next start for them is expected at
     rate_start_at, which may be later.
     """
 
     __slots__ = (
         "limit",
         "load",
+        "start_rate",
         "reported_at",
         "sent_since_report",
         "open_calls",
@@ -65,6 +67,7 @@
     def __init__(self) -> None:
         self.limit = 0
         self.load = 0.0
+        self.start_rate = 0.0
         self.reported_at = -math.inf
         self.sent_since_report = 0
         self.open_calls = 0
@@ -85,13 +88,18 @@
         running, waiting, limit = load[:3]
         if route and len(load) > 3:
             self.route_latencies[route] = (load[3] / 1000.0, now)
+        self.start_rate = load[4] / 1000.0 if len(load) > 4 else 0.0
         self.load = float(running + waiting)
         self.limit = max(1, limit)
         self.reported_at = now
         self.sent_since_report = 0
 
     def expected_load(self, slots: int, now: float) -> float:
-        """Return the running and queued requests, estimated from a report."""
+        """Return the running and queued requests, estimated from a report.
+
+        Under a rate limit the report counts missing starts, which come at a
+        known rate.
+        """
         limit = self.limit or slots
         prior = UNKNOWN_LOAD_SHARE * limit
         age = now - self.reported_at
@@ -99,6 +107,8 @@
         estimate = report_weight * self.load + (1.0 - report_weight) * min(
             prior, self.load
         )
+        if self.start_rate:
+            estimate = max(0.0, self.load - age * self.start_rate)
         if self.limit == 0:
             estimate = prior
         return max(estimate + self.sent_since_report, float(self.open_calls))
@@ -183,11 +193,14 @@
         evacuated: frozenset[str],
         excluded: Collection[str],
         now: float,
+        ignore_distance: bool = False,
     ) -> models.Target | None:
         """Return the target with the lowest score for a route, or None."""
         best: models.Target | None = None
         best_score = math.inf
         for distance, tier in self._tiers(targets):
+            if ignore_distance:
+                distance = 0.0
             if best_score <= distance:
                 # No score is below the cost of the distance.
                 break
@@ -276,6 +289,14 @@
         if len(self.ending) > MAX_ENDING_TARGETS:
             del self.ending[next(iter(self.ending))]
 
+    def has_rate_limit(self, targets: Collection[models.Target]) -> bool:
+        """Return whether one of the targets has reported a rate limit."""
+        return any(
+            target.host_id in self.peers
+            and self.peers[target.host_id].start_rate > 0.0
+            for target in targets
+        )
+
     def rate_limit_wait(
         self,
         targets: Collection[models.Target],
--- a/src/hickorythread/mesh/telemetry.py
+++ b/src/hickorythread/mesh/telemetry.py
@@ -69,7 +69,7 @@
         return self.metrics.render()
 
     def _set_target_gauges(self, plane: execution.ExecutionPlane) -> None:
-        running, waiting, limit, _ = plane.admission.load()
+        running, waiting, limit, *_ = plane.admission.load()
         self.metrics.set("target_running", running)
         self.metrics.set("target_waiting", waiting)
         self.metrics.set("target_limit", limit)
--- a/tests/mesh_load.py
+++ b/tests/mesh_load.py
@@ -514,3 +514,25 @@
         ),
     }
     return LoadSimulation(hosts, kinds, seed)
+
+
+def lookups(targets, scale=1.0, seed=1):
+    """Return a deployment of one service with many small targets.
+
+    At a scale of 1.0 all slots are in use on average.
+    """
+    slots, service_seconds = 4, 0.16
+    domains = list(REGIONS)
+    hosts = [
+        (
+            "spec-desk",
+            domains[number % 4],
+            slots,
+            (0.7, 1.6, 0.7, 1.0)[number % 4],
+        )
+        for number in range(targets)
+    ]
+    route = build.make_route("panel-spec", destinations=[("spec-desk", 1.0)])
+    rate = scale * targets * slots / service_seconds
+    kind = RequestKind(route, service_seconds, 2.0, rate)
+    return LoadSimulation(hosts, {"panel-spec": kind}, seed)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hickorythread.mesh import placement
 from tests import mesh_load
 
 WINDOW_SECONDS = 4.0
@@ -101,3 +102,31 @@
     assert len(load.refused_after) > 500
     assert late < 0.25
     assert load.summary()[1]["kiln-book"] > 0.9
+
+
+@pytest.mark.parametrize("targets", [20, 60])
+def test_targets_with_room_serve_what_limited_ones_may_not(targets):
+    """Guards against refusals while other targets have free slots.
+
+    At a quarter of the full load, 18 of 60 targets and the limited ones have
+    room for all requests, but not those in each failure domain.
+    """
+    load = mesh_load.lookups(targets, 0.25)
+    limited = load.targets()[: int(0.7 * targets)]
+    for host in limited:
+        load.schedule(2.0, host.name_limit, 2.5)
+    load.simulate(10.0)
+    assert max(max_excess(load, host.host_id) for host in limited) <= 0.0
+    assert len(load.refused_after) < 0.01 * len(load.requested)
+    assert load.sends < 1.3 * len(load.requested)
+
+
+def test_start_that_is_due_makes_a_limited_target_attractive():
+    """Guards against limited targets that nobody uses after a refusal."""
+    peer = placement.PeerState()
+    peer.update_load([1, 0, 1, 160, 2500], 10.0)
+    assert peer.expected_load(4, 10.0) == 1.0
+    assert peer.expected_load(4, 10.2) == pytest.approx(0.5)
+    assert peer.expected_load(4, 10.4) == pytest.approx(0.0)
+    peer.update_load([1, 0, 4, 160], 11.0)
+    assert peer.start_rate == 0.0
