Rank limited targets as before; ask a third one only if it has room

Cause: with the start rate in the score, near limited targets drew requests away from others that then found no start.

Change: the report says only whether there is a limit. After two full targets a third one is asked only while limits move load and its report shows room. The test of the start rate goes with its mechanism; one of the new decision takes its place.

--- a/src/hickorythread/mesh/admission.py
+++ b/src/hickorythread/mesh/admission.py
@@ -82,27 +82,25 @@
         return max(1, min(self.slots, round(rate * self.latency)))
 
     def load(self, route: str = "") -> list[int]:
-        """Return running and queued requests, limit, latency and start rate.
+        """Return the load as a list: what peers know of this target.
 
-        The latency is that of the route in ms, or 0 if it is not known. Under
-        a rate limit, a target with free slots counts as full by the starts
-        that it lacks: what a request waits for is a start and not a slot. The
-        start rate is the limit in starts per 1,000 s, or 0 if there is none.
+        It holds the running and queued requests, the limit, the latency of
+        the route in ms, 0 if it is not known, and 1 under a rate limit, else
+        0. Under a rate limit, a target with free slots counts as full by the
+        starts that it lacks: what a request waits for is a start and not a
+        slot.
         """
         latency = self.latencies.get(route, 0.0)
         limit = self.limit
         running = self.running
-        start_rate = 0.0
-        if self.rate_limit is not None:
-            start_rate = self.rate_limit.rate
-            if running < self.slots:
-                running = max(0, limit - int(self.rate_limit.tokens))
+        if self.rate_limit is not None and running < self.slots:
+            running = max(0, limit - int(self.rate_limit.tokens))
         return [
             running,
             len(self.queue),
             limit,
             int(latency * 1000),
-            int(start_rate * 1000),
+            int(self.rate_limit is not None),
         ]
 
     def set_rate_limit(self, rate: float | None, now: float) -> None:
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -9,6 +9,7 @@
 from hickorythread import retries
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
+from hickorythread.mesh import models
 from hickorythread.mesh import open_calls
 from hickorythread.mesh import origins
 from hickorythread.mesh import pending_request
@@ -277,14 +278,7 @@
     def _dispatch(
         self, pending: pending_request.PendingRequest, now: float
     ) -> Actions:
-        target = self.placement.choose(
-            self.view.by_service.get(pending.service, ()),
-            pending.route,
-            self.view.evacuated,
-            pending.tried_hosts,
-            now,
-            ignore_distance=pending.refusals >= LOCAL_REFUSALS,
-        )
+        target = self._choose_target(pending, now)
         if target is None:
             log = self._log_no_target(pending, now)
             return [log, *self._give_up_without_target(pending, now)]
@@ -301,6 +295,18 @@
         message = pending.make_forward(self.settings.service, now)
         return [events.Send(target.host_id, message)]
 
+    def _choose_target(
+        self, pending: pending_request.PendingRequest, now: float
+    ) -> models.Target | None:
+        return self.placement.choose(
+            self.view.by_service.get(pending.service, ()),
+            pending.route,
+            self.view.evacuated,
+            pending.tried_hosts,
+            now,
+            ignore_distance=pending.refusals >= LOCAL_REFUSALS,
+        )
+
     def _give_up_without_target(
         self, pending: pending_request.PendingRequest, now: float
     ) -> Actions:
@@ -414,7 +420,7 @@
             return self._give_up(pending, reason, now)
         if reason in reasons.OVERLOAD:
             pending.overload_refusals += 1
-        if self._is_refused_for_good(pending):
+        if self._is_refused_for_good(pending, now):
             return self._give_up(pending, reason, now)
         if reason in reasons.REJECTED:
             if not self.budget.take(pending.service):
@@ -423,7 +429,7 @@
         return [log, *self._dispatch(pending, now)]
 
     def _is_refused_for_good(
-        self, pending: pending_request.PendingRequest
+        self, pending: pending_request.PendingRequest, now: float
     ) -> bool:
         """Return whether further targets would probably refuse as well."""
         if pending.refusals > MAX_REFUSALS:
@@ -431,7 +437,10 @@
         if pending.overload_refusals < MAX_OVERLOAD_REFUSALS:
             return False
         targets = self.view.by_service.get(pending.service, ())
-        return not self.placement.has_rate_limit(targets)
+        if not self.placement.has_rate_limit(targets):
+            return True
+        target = self._choose_target(pending, now)
+        return target is None or not self.placement.has_room(target, now)
 
     def _handle_unknown_outcome(
         self,
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -92,8 +92,8 @@
     """Announce whether the target on the sender's host accepts requests.
 
     load holds the running and queued requests, the limit, a latency in ms and
-    the starts per 1,000 s under a rate limit, 0 without one. instance is the
-    id of the target, empty if it is not known.
+    1 under a rate limit, else 0. instance is the id of the target, empty if
+    it is not known.
     """
 
     __slots__ = ("service", "usable", "reason", "load", "instance")
--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -39,17 +39,16 @@
 
     load counts the running and queued requests at reported_at,
     sent_since_report the calls that this node sent later, and open_calls its
-    calls without a reply. start_rate is the number of starts per second under
-    the target's rate limit, 0 if it names none. Until rate_refused_until, the
-    target has no starts left under that limit for requests that are not more
-    urgent than rate_refused_priority; the next start for them is expected at
-    rate_start_at, which may be later.
+    calls without a reply. rate_limited is True if the target names a rate
+    limit. Until rate_refused_until, it has no starts left under that limit
+    for requests that are not more urgent than rate_refused_priority; the next
+    start for them is expected at rate_start_at, which may be later.
     """
 
     __slots__ = (
         "limit",
         "load",
-        "start_rate",
+        "rate_limited",
         "reported_at",
         "sent_since_report",
         "open_calls",
@@ -67,7 +66,7 @@
     def __init__(self) -> None:
         self.limit = 0
         self.load = 0.0
-        self.start_rate = 0.0
+        self.rate_limited = False
         self.reported_at = -math.inf
         self.sent_since_report = 0
         self.open_calls = 0
@@ -88,18 +87,14 @@
         running, waiting, limit = load[:3]
         if route and len(load) > 3:
             self.route_latencies[route] = (load[3] / 1000.0, now)
-        self.start_rate = load[4] / 1000.0 if len(load) > 4 else 0.0
+        self.rate_limited = len(load) > 4 and load[4] > 0
         self.load = float(running + waiting)
         self.limit = max(1, limit)
         self.reported_at = now
         self.sent_since_report = 0
 
     def expected_load(self, slots: int, now: float) -> float:
-        """Return the running and queued requests, estimated from a report.
-
-        Under a rate limit the report counts missing starts, which come at a
-        known rate.
-        """
+        """Return the running and queued requests, estimated from a report."""
         limit = self.limit or slots
         prior = UNKNOWN_LOAD_SHARE * limit
         age = now - self.reported_at
@@ -107,8 +102,6 @@
         estimate = report_weight * self.load + (1.0 - report_weight) * min(
             prior, self.load
         )
-        if self.start_rate:
-            estimate = max(0.0, self.load - age * self.start_rate)
         if self.limit == 0:
             estimate = prior
         return max(estimate + self.sent_since_report, float(self.open_calls))
@@ -293,10 +286,16 @@
         """Return whether one of the targets has reported a rate limit."""
         return any(
             target.host_id in self.peers
-            and self.peers[target.host_id].start_rate > 0.0
+            and self.peers[target.host_id].rate_limited
             for target in targets
         )
 
+    def has_room(self, target: models.Target, now: float) -> bool:
+        """Return whether a target can probably start a request at once."""
+        peer = self.peer(target.host_id)
+        limit = peer.limit or target.slots
+        return peer.expected_load(target.slots, now) + 1 <= limit
+
     def rate_limit_wait(
         self,
         targets: Collection[models.Target],
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from hickorythread.mesh import placement
+from hickorythread.mesh import events
+from hickorythread.mesh import messages
+from tests import mesh_builders as build
 from tests import mesh_load
 
 WINDOW_SECONDS = 4.0
@@ -121,12 +123,26 @@
     assert load.sends < 1.3 * len(load.requested)
 
 
-def test_start_that_is_due_makes_a_limited_target_attractive():
-    """Guards against limited targets that nobody uses after a refusal."""
-    peer = placement.PeerState()
-    peer.update_load([1, 0, 1, 160, 2500], 10.0)
-    assert peer.expected_load(4, 10.0) == 1.0
-    assert peer.expected_load(4, 10.2) == pytest.approx(0.5)
-    assert peer.expected_load(4, 10.4) == pytest.approx(0.0)
-    peer.update_load([1, 0, 4, 160], 11.0)
-    assert peer.start_rate == 0.0
+@pytest.mark.parametrize(
+    ("rate_limited", "running", "asks_a_third"),
+    [(1, 0, True), (1, 4, False), (0, 0, False)],
+)
+def test_two_full_targets_end_the_search_unless_limits_moved_the_load(
+    rate_limited, running, asks_a_third
+):
+    """Guards against a search that ends early, or that asks full targets."""
+    plane = build.make_entry(build.make_view(targets=4), connected=4)
+    limited_peer = plane.placement.peer("10.0.0.4")
+    limited_peer.update_load([9, 0, 1, 0, rate_limited], 0.0)
+    plane.request(build.make_request(), 0.0)
+    for _ in range(2):
+        (pending,) = plane.calls.by_call_id.values()
+        for host_id in ("10.0.0.1", "10.0.0.2", "10.0.0.3"):
+            peer = plane.placement.peer(host_id)
+            peer.update_load([running, 0, 4, 0, 0], 0.0)
+        reply = build.make_reply(
+            pending.call_id, messages.NOT_RUN, 503, reason="expected-wait"
+        )
+        actions = plane.reply(pending.host_id, reply, 0.0)
+    assert bool(build.of_type(actions, events.Send)) == asks_a_third
+    assert bool(build.of_type(actions, events.Respond)) != asks_a_third
