Let only a request sent under a limit show that it has ended

Cause: responses of a target arrive on several connections and are read in any order, most of all by a node that was frozen. One that the target had sent before it named a limit could be read after the one that names it, and ended the limit until the next response. Until then the node started what its slots allow.

Change: a response without the header ends the limit only if its request was sent after the limit had last been named.

--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -173,7 +173,7 @@
         actions: list[events.Record] = []
         if run.instance == self.instance:
             actions = self._note_response(
-                response, target_notices.RESPONSE, now
+                response, target_notices.RESPONSE, run.started_at, now
             )
         if response.not_run:
             self.admission.release_slot()
@@ -243,7 +243,9 @@
             )
             self.instance = result.instance
             self._apply_registration(now)
-        actions += self._note_response(result, target_notices.PROBE, now)
+        actions += self._note_response(
+            result, target_notices.PROBE, self.probes.sent_at, now
+        )
         if result.warmup is not None:
             self._start_warmup(result.warmup, now)
         if self.admission.paused and self.instance:
@@ -347,14 +349,20 @@
         return None
 
     def _note_response(
-        self, response: events.TargetResponse, source: str, now: float
+        self,
+        response: events.TargetResponse,
+        source: str,
+        asked_at: float,
+        now: float,
     ) -> list[events.Record]:
         """Apply what a response says about the target; announce its changes.
 
         The peers hear of an end before the response that says so reaches a
         client, since the announcement precedes the reply on each stream.
         """
-        logs = self.notices.record(response, self.instance, source)
+        logs = self.notices.record(
+            response, self.instance, source, asked_at, now
+        )
         self.admission.set_rate_limit(self.notices.rate_limit, now)
         return logs + self._announce(now) if logs else []
 
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -474,6 +474,21 @@
     assert plane.notices.rate_limit is None
 
 
+def test_response_to_an_earlier_request_does_not_end_a_limit():
+    """Guards against a limit lost to a response that was overtaken."""
+    plane = build.make_execution()
+    for call_id in (1, 2):
+        plane.call("10.0.0.2", build.make_call(call_id), 0.0)
+    answer = events.TargetResponse(200, [], b"ok", rate_limit=2.0)
+    plane.handle_response(1, answer, 0.3)
+    answer = events.TargetResponse(200, [], b"ok")
+    plane.handle_response(2, answer, 0.3)
+    assert plane.notices.rate_limit == 2.0
+    plane.call("10.0.0.2", build.make_call(3), 1.0)
+    plane.handle_response(3, answer, 1.1)
+    assert plane.notices.rate_limit is None
+
+
 def test_node_remembers_a_leaving_target_when_its_peer_does_not():
     """Guards against requests to a leaving target after its node restarts."""
     made_view = build.make_view()
