--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -284,7 +284,7 @@
         document = {
             "path": environ["PATH_INFO"],
             "query": environ["QUERY_STRING"],
-            "body_digest": standins.utils.digest(body).hex(),
+            "body_digest": utils.digest(body).hex(),
         }
         headers = [("X-Outcome", outcome)]
         if key:
