Move what commands print out of the command line

Cause: cli.py had grown to 1008 lines; a sixth of it laid out text for terminals.

Change: output.py prints results; print_result returns nothing, the commands return their exit code themselves. No behaviour changes.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 import sys
 from typing import Any
-from typing import Literal
-from typing import TextIO
+
+from hickorythread import output
 
 EXIT_OK = 0
 EXIT_REJECTED = 1
@@ -33,8 +33,6 @@
 
 VERDICT_POLL_SECONDS = 0.2
 
-Format = Literal["text", "json"]
-
 
 class CommandError(Exception):
     """Hold the exit code and messages with which a command ends."""
@@ -76,10 +74,10 @@
     try:
         return call()
     except CommandError as error:
-        _print_lines(sys.stderr, error.lines)
+        output.print_lines(sys.stderr, error.lines)
         return error.code
     except exceptions.InvariantError as error:
-        _print_lines(sys.stderr, (f"invariant violated: {error}",))
+        output.print_lines(sys.stderr, (f"invariant violated: {error}",))
         return EXIT_INVARIANT
     except BrokenPipeError:
         return _discard_output()
@@ -205,7 +203,7 @@
     return _run_server(lambda: imported.run(result.ok, *arguments))
 
 
-def check(file: str, *, format: Format = "text") -> int:
+def check(file: str, *, format: output.Format = "text") -> int:
     """Validate a settings or patch file and report all problems at once.
 
     A document with the key id, base or operations is a patch; any other is
@@ -229,7 +227,11 @@
 
 
 def patch_check(
-    file: str, *, node: str = "", profile: str = "", format: Format = "text"
+    file: str,
+    *,
+    node: str = "",
+    profile: str = "",
+    format: output.Format = "text",
 ) -> int:
     """Validate a patch file, and test it on a node without publishing it.
 
@@ -246,14 +248,16 @@
     options = _read_options(profile, node=node)
     if not options.nodes:
         text = f"{file}: no mistakes; not tested on a node, as none was given"
-        return _print_result(
-            format, {"accepted": None, "problems": []}, [text]
-        )
+        output.print_result(format, {"accepted": None, "problems": []}, [text])
+        return EXIT_OK
     response = _call_node(lambda: options.node_client().check_patch(patch))
     if response.get("accepted"):
         text = f"{patch['id']}: would be accepted"
-        return _print_result(format, response, [text])
-    _print_result(format, response, _rejection_lines(patch["id"], response))
+        output.print_result(format, response, [text])
+        return EXIT_OK
+    output.print_result(
+        format, response, output.rejection_lines(patch["id"], response)
+    )
     return EXIT_REJECTED
 
 
@@ -265,7 +269,7 @@
     token_file: str = "",
     profile: str = "",
     timeout: float = 15.0,
-    format: Format = "text",
+    format: output.Format = "text",
 ) -> int:
     """Publish a patch and wait until a node reports its verdict.
 
@@ -288,7 +292,11 @@
 
 
 def patch_show(
-    id: str, *, node: str = "", profile: str = "", format: Format = "text"
+    id: str,
+    *,
+    node: str = "",
+    profile: str = "",
+    format: output.Format = "text",
 ) -> int:
     """Show the verdict on a published patch.
 
@@ -313,7 +321,7 @@
     token_file: str = "",
     profile: str = "",
     timeout: float = 15.0,
-    format: Format = "text",
+    format: output.Format = "text",
 ) -> int:
     """Take a failure domain out of service.
 
@@ -341,7 +349,7 @@
     token_file: str = "",
     profile: str = "",
     timeout: float = 15.0,
-    format: Format = "text",
+    format: output.Format = "text",
 ) -> int:
     """Bring a failure domain back into service.
 
@@ -361,7 +369,7 @@
 
 
 def status(
-    *, node: str = "", profile: str = "", format: Format = "text"
+    *, node: str = "", profile: str = "", format: output.Format = "text"
 ) -> int:
     """Show configuration version and digest per region and failure domain.
 
@@ -374,7 +382,8 @@
     """
     client = _read_options(profile, node=node).node_client()
     response = _call_node(client.status)
-    return _print_result(format, response, _status_lines(response))
+    output.print_result(format, response, output.status_lines(response))
+    return EXIT_OK
 
 
 def explain(
@@ -383,7 +392,7 @@
     tenant: str = "",
     node: str = "",
     profile: str = "",
-    format: Format = "text",
+    format: output.Format = "text",
 ) -> int:
     """Show how a node would route a request, without sending it.
 
@@ -405,10 +414,11 @@
         )
     client = _read_options(profile, node=node).node_client()
     response = _call_node(lambda: client.explain(method.upper(), path, tenant))
-    return _print_result(format, response, _flatten(response))
+    output.print_result(format, response, output.flatten(response))
+    return EXIT_OK
 
 
-def trace(request: str, *files: str, format: Format = "text") -> int:
+def trace(request: str, *files: str, format: output.Format = "text") -> int:
     """Show the log lines of one request from several nodes, by time.
 
     Reads standard input if no file is given. Exits with 0 if a line has the
@@ -429,9 +439,10 @@
             "(event lines_dropped)",
         )
     document = {"request": request, "lines": traces.to_document(log_lines)}
-    return _print_result(
+    output.print_result(
         format, document, [traces.format_line(line) for line in log_lines]
     )
+    return EXIT_OK
 
 
 def _read_lines(files: tuple[str, ...]) -> Iterable[str]:
@@ -657,7 +668,7 @@
     options: _ConnectionOptions,
     patch: dict[str, Any],
     timeout: float,
-    format: Format,
+    format: output.Format,
 ) -> int:
     node_client = options.node_client()
     platform_client = options.platform_client()
@@ -671,9 +682,9 @@
         )
     check_result = _call_node(lambda: node_client.check_patch(patch))
     if not check_result.get("accepted"):
-        lines = _rejection_lines(patch_id, check_result)
+        lines = output.rejection_lines(patch_id, check_result)
         document = {"id": patch_id, "published": False} | check_result
-        _print_result(
+        output.print_result(
             format, document, lines + ["the patch was not published"]
         )
         return EXIT_REJECTED
@@ -755,7 +766,7 @@
     name: str,
     state: str,
     timeout: float,
-    format: Format,
+    format: output.Format,
 ) -> int:
     version = _call_node(options.node_client().status).get("version")
     if not isinstance(version, int):
@@ -864,7 +875,7 @@
 
 
 def _report_check(
-    format: Format, file: str, kind: str, problems: list[Any]
+    format: output.Format, file: str, kind: str, problems: list[Any]
 ) -> int:
     report = {
         "file": file,
@@ -876,133 +887,21 @@
         ],
     }
     lines = [f"{file}: {problem}" for problem in problems]
-    _print_result(format, report, lines or [f"{file}: no mistakes ({kind})"])
+    output.print_result(
+        format, report, lines or [f"{file}: no mistakes ({kind})"]
+    )
     return EXIT_USAGE if problems else EXIT_OK
 
 
 def _print_verdict(
-    format: Format, patch_id: str, verdict: dict[str, Any]
+    format: output.Format, patch_id: str, verdict: dict[str, Any]
 ) -> int:
     kind = verdict.get("verdict", "unknown")
     if kind == "accepted":
         lines = [f"{patch_id}: accepted as version {verdict.get('version')}"]
     elif kind == "rejected":
-        lines = _rejection_lines(patch_id, verdict)
+        lines = output.rejection_lines(patch_id, verdict)
     else:
         lines = [f"{patch_id}: the node has no verdict on this patch"]
-    _print_result(format, verdict, lines)
+    output.print_result(format, verdict, lines)
     return EXIT_OK if kind == "accepted" else EXIT_REJECTED
-
-
-def _rejection_lines(patch_id: str, response: dict[str, Any]) -> list[str]:
-    lines = [
-        f"{patch_id}: rejected ({response.get('kind') or 'no kind given'})"
-    ]
-    for problem in response.get("problems") or ():
-        lines.append(f"  {problem.get('path')}: {problem.get('message')}")
-    return lines
-
-
-def _status_lines(response: dict[str, Any]) -> list[str]:
-    ready = "ready" if response.get("ready") else "not ready"
-    lines = [
-        f"{response.get('host_id')}: version {response.get('version')}, "
-        f"digest {_short_digest(response.get('digest'))}, {ready}"
-    ]
-    rows = [("REGION", "DOMAIN", "VERSION", "DIGEST", "HOSTS")]
-    laggards = []
-    for region, domains in sorted((response.get("regions") or {}).items()):
-        for domain, summary in sorted(domains.items()):
-            rows.extend(_count_rows(region, domain, summary))
-            laggards.extend(_laggard_lines(region, domain, summary))
-    return lines + _table(rows) + laggards
-
-
-def _count_rows(
-    region: str, domain: str, summary: dict[str, Any]
-) -> list[Any]:
-    return [
-        (
-            region,
-            domain,
-            str(item.get("version")),
-            _short_digest(item.get("digest")),
-            str(item.get("count")),
-        )
-        for item in summary.get("counts") or ()
-    ]
-
-
-def _laggard_lines(
-    region: str, domain: str, summary: dict[str, Any]
-) -> list[str]:
-    return [
-        f"lagging: {item.get('host_id')} in {region}/{domain} holds version "
-        f"{item.get('version')}"
-        for item in summary.get("laggards") or ()
-    ]
-
-
-def _table(rows: list[Any]) -> list[str]:
-    widths = [
-        max(len(row[column]) for row in rows) for column in range(len(rows[0]))
-    ]
-    return [
-        "  ".join(
-            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
-        ).rstrip()
-        for row in rows
-    ]
-
-
-def _short_digest(digest: Any) -> str:
-    return str(digest or "-")[:12]
-
-
-def _flatten(value: Any, name: str = "") -> list[str]:
-    if isinstance(value, dict):
-        return [
-            line
-            for key in value
-            for line in _flatten(value[key], f"{name}.{key}".strip("."))
-        ]
-    if isinstance(value, list):
-        if all(not isinstance(item, dict | list) for item in value):
-            joined = ", ".join(str(item) for item in value)
-            return [f"{name}: {joined or '-'}"]
-        return [
-            line
-            for index, item in enumerate(value)
-            for line in _flatten(item, f"{name}.{index}")
-        ]
-    return [f"{name}: {value}"]
-
-
-def _print_result(format: Format, document: Any, lines: list[str]) -> int:
-    if format == "json":
-        import json
-
-        text = json.dumps(document, indent=2, sort_keys=True)
-        lines = text.splitlines()
-    _print_lines(sys.stdout, lines)
-    return EXIT_OK
-
-
-def _print_lines(stream: TextIO, lines: Iterable[str]) -> None:
-    encoding = stream.encoding or "utf-8"
-    for line in lines:
-        encoded = _escape(line).encode(encoding, "backslashreplace")
-        stream.write(f"{encoded.decode(encoding)}\n")
-    stream.flush()
-
-
-def _escape(line: str) -> str:
-    """Escape control characters, which a terminal would interpret."""
-    if line.isprintable():
-        return line
-    return "".join(
-        character
-        if character.isprintable()
-        else character.encode("unicode_escape").decode("ascii")
-        for character in line
-    )
