Keep what a retry budget owes until the window of the limit has passed

Cause: calls that retries make are charged to the budget of the called service. They come in bursts, and a bucket owed its reserve at most, so that the rest of a burst was forgotten and spent again.

Change: a bucket owes what it was charged in the last 10 to 20 s.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -111,7 +111,7 @@
         probability = self.origins.retry_probability(
             route.name, running, running_retries
         )
-        self.budget.note_request(service, probability)
+        self.budget.note_request(service, probability, now)
         return self._dispatch(pending, now)
 
     def may_repeat(self, request: events.Request) -> bool:
--- a/src/hickorythread/retries.py
+++ b/src/hickorythread/retries.py
@@ -2,6 +2,30 @@
 
 DEFAULT_SHARE = 0.1
 DEFAULT_RESERVE = 10.0
+# A charge counts for at least so long. What is older can no longer exceed a
+# limit that holds for each span of 10 s.
+WINDOW_SECONDS = 10.0
+
+
+class Charges:
+    """Sum what a service was charged in this window and in the last one."""
+
+    __slots__ = ("started_at", "current", "previous")
+
+    def __init__(self, now: float) -> None:
+        self.started_at = now
+        self.current = 0.0
+        self.previous = 0.0
+
+    def add(self, tokens: float, now: float) -> float:
+        """Add a charge; return the sum of both windows."""
+        windows = (now - self.started_at) // WINDOW_SECONDS
+        if windows >= 1:
+            self.previous = self.current if windows < 2 else 0.0
+            self.current = 0.0
+            self.started_at += windows * WINDOW_SECONDS
+        self.current += tokens
+        return self.current + self.previous
 
 
 class RetryBudget:
@@ -11,7 +35,7 @@
     full if that is None.
     """
 
-    __slots__ = ("share", "reserve", "initial", "tokens")
+    __slots__ = ("share", "reserve", "initial", "tokens", "charges")
 
     def __init__(
         self,
@@ -23,6 +47,7 @@
         self.reserve = reserve
         self.initial = initial
         self.tokens: dict[str, float] = {}
+        self.charges: dict[str, Charges] = {}
 
     def set_reserve(self, reserve: float) -> None:
         """Change the capacity of each service's token bucket."""
@@ -31,16 +56,21 @@
             self.tokens[service] = min(tokens, reserve)
 
     def note_request(
-        self, service: str, retry_probability: float = 0.0
+        self, service: str, retry_probability: float = 0.0, now: float = 0.0
     ) -> None:
         """Add the share of one request to the bucket of its service.
 
         retry_probability is that of the request being a call that a retry
-        makes. Such a call counts as a retry of the called service. A bucket
-        may owe as many tokens as it can hold.
+        makes. Such a call counts as a retry of the called service and is
+        charged. A bucket owes what it was charged recently and could not pay.
+        now is in monotonic seconds; charges never grow old without it.
         """
+        charges = self.charges.get(service)
+        if charges is None:
+            charges = self.charges[service] = Charges(now)
+        max_debt = charges.add(retry_probability, now)
         tokens = self._held(service) + self.share - retry_probability
-        self.tokens[service] = max(-self.reserve, min(tokens, self.reserve))
+        self.tokens[service] = max(-max_debt, min(tokens, self.reserve))
 
     def take(self, service: str) -> bool:
         """Take a token for one retry; return False if there is none."""
@@ -58,3 +88,4 @@
         """Drop the buckets of services that no longer exist."""
         for name in set(self.tokens) - services:
             del self.tokens[name]
+            self.charges.pop(name, None)
