Take the window of the retry budget from the settings

Cause: the time for which a retry budget owes what it was charged was a constant of 10 s, while the deployment sets the window of the bound.

Change: a setting retry_window_seconds, 10 s by default, reloadable.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -253,6 +253,7 @@
     def update_retry_budget(self) -> None:
         """Set the retry budget to this node's part of that of the mesh."""
         self.budget.share = RETRY_SHARE * self.settings.retry_share
+        self.budget.window_seconds = self.settings.retry_window_seconds
         slack = RETRY_SLACK_SHARE * self.settings.retry_slack
         hosts = {target.host_id for target in self.view.targets.values()}
         # Entries of targets may lapse while the source is away.
--- a/src/hickorythread/mesh/settings.py
+++ b/src/hickorythread/mesh/settings.py
@@ -15,9 +15,10 @@
     host_id is the IP address of the host, regions maps failure domains to
     their regions, and addresses have the form IP:port. The whole mesh may
     retry the fraction retry_share of the requests for a service, plus
-    retry_slack requests. A cold target may receive, in any second,
-    warmup_rate_factor times its warm-up rate, plus warmup_burst requests. The
-    removal of a target must be in force within removal_ms.
+    retry_slack requests, in any retry_window_seconds. A cold target may
+    receive, in any second, warmup_rate_factor times its warm-up rate, plus
+    warmup_burst requests. The removal of a target must be in force within
+    removal_ms.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "grace_seconds",
         "retry_share",
         "retry_slack",
+        "retry_window_seconds",
         "warmup_rate_factor",
         "warmup_burst",
         "removal_ms",
@@ -56,6 +58,7 @@
         grace_seconds: float,
         retry_share: float,
         retry_slack: float,
+        retry_window_seconds: float = 10.0,
         warmup_rate_factor: float = 1.0,
         warmup_burst: float = 2.0,
         removal_ms: float = 2000.0,
@@ -76,6 +79,7 @@
         self.grace_seconds = grace_seconds
         self.retry_share = retry_share
         self.retry_slack = retry_slack
+        self.retry_window_seconds = retry_window_seconds
         self.warmup_rate_factor = warmup_rate_factor
         self.warmup_burst = warmup_burst
         self.removal_ms = removal_ms
--- a/src/hickorythread/mesh/settings_file.py
+++ b/src/hickorythread/mesh/settings_file.py
@@ -17,6 +17,7 @@
     "grace_seconds",
     "retry_share",
     "retry_slack",
+    "retry_window_seconds",
     "warmup_rate_factor",
     "warmup_burst",
 )
--- a/src/hickorythread/mesh/target_notices.py
+++ b/src/hickorythread/mesh/target_notices.py
@@ -14,11 +14,12 @@
 
     rate_limit is the number of requests per second that the target accepts,
     None if it names none, and named_at the time at which it was last named.
-    It holds until a response names another one or none; a probe without one
-    says nothing of it. ending is True once the target has said that it is
-    about to end; a process does not take that back. starts counts the
-    requests that started since the limit last changed, and unreadable holds
-    the lines of the last response that could not be read.
+    It holds until a response names another one, or none to a request that
+    was sent later; a probe without one says nothing of it. ending is True
+    once the target has said that it is about to end; a process does not take
+    that back. starts counts the requests that started since the limit last
+    changed, and unreadable holds the lines of the last response that could
+    not be read.
     """
 
     __slots__ = ("rate_limit", "named_at", "ending", "starts", "unreadable")
--- a/src/hickorythread/retries.py
+++ b/src/hickorythread/retries.py
@@ -2,13 +2,11 @@
 
 DEFAULT_SHARE = 0.1
 DEFAULT_RESERVE = 10.0
-# A charge counts for at least so long. What is older can no longer exceed a
-# limit that holds for each span of 10 s.
-WINDOW_SECONDS = 10.0
+DEFAULT_WINDOW_SECONDS = 10.0
 
 
 class Charges:
-    """Sum what a service was charged in this window and in the last one."""
+    """Sum the tokens that were charged in this window and in the last one."""
 
     __slots__ = ("started_at", "current", "previous")
 
@@ -17,13 +15,13 @@
         self.current = 0.0
         self.previous = 0.0
 
-    def add(self, tokens: float, now: float) -> float:
+    def add(self, tokens: float, window_seconds: float, now: float) -> float:
         """Add a charge; return the sum of both windows."""
-        windows = (now - self.started_at) // WINDOW_SECONDS
+        windows = (now - self.started_at) // window_seconds
         if windows >= 1:
             self.previous = self.current if windows < 2 else 0.0
             self.current = 0.0
-            self.started_at += windows * WINDOW_SECONDS
+            self.started_at += windows * window_seconds
         self.current += tokens
         return self.current + self.previous
 
@@ -32,20 +30,30 @@
     """Hold one token bucket per service, refilled by its requests.
 
     A bucket holds at most reserve tokens and begins with initial ones, or
-    full if that is None.
+    full if that is None. window_seconds is the span of time for which the
+    retries are limited.
     """
 
-    __slots__ = ("share", "reserve", "initial", "tokens", "charges")
+    __slots__ = (
+        "share",
+        "reserve",
+        "initial",
+        "window_seconds",
+        "tokens",
+        "charges",
+    )
 
     def __init__(
         self,
         share: float = DEFAULT_SHARE,
         reserve: float = DEFAULT_RESERVE,
         initial: float | None = None,
+        window_seconds: float = DEFAULT_WINDOW_SECONDS,
     ) -> None:
         self.share = share
         self.reserve = reserve
         self.initial = initial
+        self.window_seconds = window_seconds
         self.tokens: dict[str, float] = {}
         self.charges: dict[str, Charges] = {}
 
@@ -62,13 +70,13 @@
 
         retry_probability is that of the request being a call that a retry
         makes. Such a call counts as a retry of the called service and is
-        charged. A bucket owes what it was charged recently and could not pay.
-        now is in monotonic seconds; charges never grow old without it.
+        charged. A bucket owes what it could not pay, until its charges are
+        older than the window. now is in monotonic seconds.
         """
         charges = self.charges.get(service)
         if charges is None:
             charges = self.charges[service] = Charges(now)
-        max_debt = charges.add(retry_probability, now)
+        max_debt = charges.add(retry_probability, self.window_seconds, now)
         tokens = self._held(service) + self.share - retry_probability
         self.tokens[service] = max(-max_debt, min(tokens, self.reserve))
 
--- a/src/hickorythread/standins/bodies.py
+++ b/src/hickorythread/standins/bodies.py
@@ -17,6 +17,7 @@
 def send_json(
     start_response: StartResponse, status: int, document: models.Document
 ) -> Iterable[bytes]:
+    """Start a response and return a document as its body."""
     reason = client.responses.get(status, "Unknown")
     body = json.dumps(document).encode()
     return send_body(start_response, f"{status} {reason}", body)
@@ -28,6 +29,7 @@
     body: bytes,
     headers: Iterable[tuple[str, str]] = (),
 ) -> Iterable[bytes]:
+    """Start a response and return its body, which is JSON."""
     start_response(
         status,
         [
@@ -40,6 +42,7 @@
 
 
 def read_body(environ: dict[str, Any], limit: int) -> bytes | None:
+    """Return the body of a request, None if it exceeds limit bytes."""
     length = int(environ.get("CONTENT_LENGTH") or 0)
     if length > limit:
         return None
@@ -48,6 +51,7 @@
 
 
 def read_json(environ: dict[str, Any], limit: int) -> Any:
+    """Return the JSON body of a request, None if it is not valid."""
     body = read_body(environ, limit)
     try:
         if body is None:
--- a/tests/mesh_load.py
+++ b/tests/mesh_load.py
@@ -22,6 +22,8 @@
 SAME_REGION_SECONDS = 0.0009
 OTHER_REGION_SECONDS = 0.012
 TICK_SECONDS = 0.02
+# A host that wakes reads what waits for it within this time.
+WAKE_SECONDS = 0.01
 LATE_CREDIT = 0.3
 
 
@@ -100,8 +102,8 @@
         """Return whether an event has to wait until this host is awake."""
         if self.simulation.now >= self.awake_at:
             return False
-        # What waits in several sockets is read in any order.
-        when = self.awake_at + 0.01 * self.simulation.random.random()
+        # Sockets are read in any order.
+        when = self.awake_at + WAKE_SECONDS * self.simulation.random.random()
         self.simulation.schedule(when, function, *arguments)
         return True
 
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -179,6 +179,20 @@
     assert repeats <= 60 / 3 + 0.2 * 200
 
 
+@pytest.mark.parametrize(("window", "owes"), [(10.0, False), (30.0, True)])
+def test_debt_of_a_retry_budget_lasts_as_long_as_the_settings_say(
+    window, owes
+):
+    """Guards against a debt that ends while its charges still count."""
+    plane = build.make_entry(build.make_view())
+    plane.settings.retry_window_seconds = window
+    plane.update_retry_budget()
+    for _ in range(30):
+        plane.budget.note_request("spec-desk", 1.0, 0.0)
+    plane.budget.note_request("spec-desk", 0.0, 25.0)
+    assert (plane.budget.tokens["spec-desk"] < 0.0) == owes
+
+
 def test_reserves_of_all_nodes_stay_below_the_shared_slack():
     """Guards against nodes whose retry budgets exceed the slack in total."""
     view = build.make_view(targets=20)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -352,6 +352,7 @@
         "bounds.grace_s": "6",
         "bounds.retry_ratio": "0.2",
         "bounds.retry_slack": "60",
+        "bounds.retry_window_s": "10",
         "bounds.warmup_overage": "1.5",
         "bounds.warmup_slack": "5",
         "bounds.drain_ms": "2000",
