Log which target the view drops or holds, and what told so

The lines targets_changed and targets_lapsed say how many targets changed, but not which ones, with which start time and revision, nor that a removal was held back: they cannot tell a removal that is held too long from an end that is taken back.

The view notes each decision about a target (target_draining, target_held, target_removed) with its start time, the revision and the reason; the node logs and counts it. No logic is changed.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -119,6 +119,7 @@
             random_source,
             self._view_changed,
             self.telemetry.record_source_call,
+            self._log,
         )
         self.clients: dict[int, interfaces.Client] = {}
         self.backlog = pipelining.Backlog()
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -9,6 +9,7 @@
 from hickorythread import exceptions
 from hickorythread import interfaces as base_interfaces
 from hickorythread import logs
+from hickorythread.mesh import events as mesh_events
 from hickorythread.mesh import exchange
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
@@ -41,6 +42,11 @@
 NEW_MESH_SECONDS = 3.0
 
 ViewChanged = Callable[[frozenset[str]], None]
+LogCallback = Callable[[mesh_events.Log], None]
+
+
+def ignore_log(log: mesh_events.Log) -> None:
+    """Ignore a decision."""
 
 
 class Peers(Protocol):
@@ -58,7 +64,8 @@
     """Read the source if this node is a reader; exchange views with peers.
 
     view_changed is called after each change of the view with the failure
-    domains that were evacuated before it.
+    domains that were evacuated before it, on_decision with each decision about
+    a target.
     """
 
     def __init__(
@@ -71,6 +78,7 @@
         random_source: base_interfaces.RandomSource,
         view_changed: ViewChanged,
         on_read: watcher.ReadCallback = watcher.ignore_read,
+        on_decision: LogCallback = ignore_log,
     ) -> None:
         now = clock.monotonic()
         self.settings = settings
@@ -79,6 +87,7 @@
         self.clock = clock
         self.random_source = random_source
         self.view_changed = view_changed
+        self.on_decision = on_decision
         self.started_at = now
         # Last time the source is known to have responded to this node or to a
         # reader.
@@ -229,6 +238,8 @@
         )
 
     def _view_updated(self, previously_evacuated: frozenset[str]) -> None:
+        for log in self.view.take_logs():
+            self.on_decision(log)
         regions = self.settings.regions
         region = regions.get(self.settings.failure_domain)
         hosts: dict[str, set[str]] = {}
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -2,8 +2,10 @@
 
 import collections
 from collections.abc import Iterable
+from typing import Any
 
 from hickorythread import codec
+from hickorythread.mesh import events
 from hickorythread.mesh import models
 
 # Targets whose entries expired while the source was unreachable register again
@@ -16,6 +18,12 @@
 # hold them.
 MAX_PACKED_VERSIONS = 4
 
+# What told that a target is gone.
+EVENT = "event"
+LIST = "list"
+PEER = "peer"
+HOLD_ENDED = "hold-ended"
+
 
 class View:
     """Hold the newest configuration, the targets and the evacuations.
@@ -43,6 +51,13 @@
         self.operator_revision = 0
         self.grace_until = 0.0
         self.pending_removals: dict[str, float] = {}
+        # Decisions that have not been logged yet.
+        self.logs: list[events.Log] = []
+
+    def take_logs(self) -> list[events.Log]:
+        """Return the decisions that were made since the last call."""
+        logs, self.logs = self.logs, []
+        return logs
 
     @property
     def ready(self) -> bool:
@@ -83,9 +98,13 @@
         """Add or replace a target."""
         self.pending_removals.pop(target.id, None)
         self.departed.pop(target.id, None)
-        if self.targets.get(target.id) != target:
-            self.targets[target.id] = target
-            self._targets_changed()
+        known = self.targets.get(target.id)
+        if known == target:
+            return
+        if target.draining and not (known and known.draining):
+            self._log("target_draining", target)
+        self.targets[target.id] = target
+        self._targets_changed()
 
     def remove_targets(
         self,
@@ -127,13 +146,17 @@
         self, target: models.Target, now: float, from_snapshot: bool
     ) -> None:
         target_id = target.id
+        reason = LIST if from_snapshot else EVENT
         if now >= self.grace_until or target.draining:
-            self._remove(target_id)
+            self._remove(target_id, reason)
             return
         due = self.grace_until
         if not from_snapshot:
             due = min(due, now + MAX_REMOVAL_DELAY_SECONDS)
-        self.pending_removals.setdefault(target_id, due)
+        if target_id not in self.pending_removals:
+            self.pending_removals[target_id] = due
+            held = round(due - now, 3)
+            self._log("target_held", target, reason=reason, seconds=held)
 
     def replace_targets(
         self, targets: dict[str, models.Target], revision: int, now: float
@@ -161,7 +184,7 @@
         self.revision = max(self.revision, revision)
         for target_id in self.targets.keys() - targets.keys():
             self.pending_removals.pop(target_id, None)
-            self._remove(target_id)
+            self._remove(target_id, PEER)
         for target in targets.values():
             self.put_target(target)
         self.pending_removals.update(pending_removals)
@@ -179,7 +202,7 @@
         )
         for target_id in expired:
             del self.pending_removals[target_id]
-            self._remove(target_id)
+            self._remove(target_id, HOLD_ENDED)
         return expired
 
     def pack_targets(self) -> bytes:
@@ -203,12 +226,27 @@
             )
         return difference
 
-    def _remove(self, target_id: str) -> None:
-        if self.targets.pop(target_id, None) is not None:
-            self.departed[target_id] = None
-            while len(self.departed) > MAX_DEPARTED_TARGETS:
-                del self.departed[next(iter(self.departed))]
-            self._targets_changed()
+    def _remove(self, target_id: str, reason: str) -> None:
+        target = self.targets.pop(target_id, None)
+        if target is None:
+            return
+        self.departed[target_id] = None
+        while len(self.departed) > MAX_DEPARTED_TARGETS:
+            del self.departed[next(iter(self.departed))]
+        self._log("target_removed", target, reason=reason)
+        self._targets_changed()
+
+    def _log(self, event: str, target: models.Target, **values: Any) -> None:
+        """Note a decision about a target with what it was based on."""
+        log = events.Log(
+            event,
+            target=target.id,
+            started_at=target.started_at_ms,
+            draining=target.draining,
+            revision=self.revision,
+            **values,
+        )
+        self.logs.append(log)
 
     def _targets_changed(self) -> None:
         self.index = None
