--- /dev/null
+++ b/tests/test_target_ends.py
@@ -0,0 +1,58 @@
+"""Tests of what nodes know about the end of a target."""
+
+import pytest
+
+from hickorythread import messages as base_messages
+from hickorythread.mesh import events
+from hickorythread.mesh import messages
+from tests import mesh_builders as build
+
+# The source answers a node again only now, after a silent connection to it
+# was found; the removal is as old as the silence.
+REGAINED_AT = 13.0
+
+
+def make_plane_whose_target_is_held():
+    """Return the plane beside t1, and the actions for its held removal."""
+    made_view = build.make_view()
+    plane = build.make_execution(made_view)
+    plane.tick(REGAINED_AT)
+    made_view.start_grace_period(REGAINED_AT)
+    made_view.remove_targets(["t1"], REGAINED_AT)
+    assert "t1" in made_view.targets
+    return plane, plane.view_changed(False, REGAINED_AT)
+
+
+def answer_probe(plane, status, now, **values):
+    response = events.TargetResponse(status, [], b"", instance="t1", **values)
+    return plane.handle_probe_result(response, now)
+
+
+def test_target_gets_nothing_while_it_is_not_clear_that_it_stays():
+    """Guards against requests to a target 2 s after its removal (DRAIN)."""
+    plane, actions = make_plane_whose_target_is_held()
+    assert len(build.of_type(actions, events.Probe)) == 1
+    actions = plane.call("10.0.0.2", build.make_call(), REGAINED_AT + 0.01)
+    assert not build.of_type(actions, events.Run)
+
+
+@pytest.mark.parametrize("answer", [{"status": 503}, {"leaving": True}])
+def test_target_that_confirms_its_removal_gets_nothing_more(answer):
+    plane, _ = make_plane_whose_target_is_held()
+    plane.call("10.0.0.2", build.make_call(), REGAINED_AT + 0.01)
+    values = {"status": 200} | answer
+    actions = answer_probe(plane, now=REGAINED_AT + 0.02, **values)
+    assert not build.of_type(actions, events.Run)
+    (state,) = build.of_type(actions, events.Broadcast)
+    assert not state.message.usable
+    actions += plane.tick(REGAINED_AT + 0.04)
+    (reply,) = build.sent_messages(actions, base_messages.Reply)
+    assert reply.outcome == messages.NOT_RUN
+
+
+def test_target_whose_entry_has_lapsed_goes_on_after_its_probe():
+    plane, _ = make_plane_whose_target_is_held()
+    plane.call("10.0.0.2", build.make_call(), REGAINED_AT + 0.01)
+    actions = answer_probe(plane, 200, REGAINED_AT + 0.02)
+    assert len(build.of_type(actions, events.Run)) == 1
+    assert plane.state().usable
