Start no waiting work at a target that is not available any more

Callers' requests that waited beside a target could still start there after its node knew that it leaves: the free slot of the response that says so was given to the next one, and only the next tick (20 ms) refused what waits.

The node now asks before each start whether the target is available. test_waiting_work_does_not_start_at_a_target_that_says_it_leaves failed before (one Run) and passes; found by the test of the held removal.

--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -382,6 +382,9 @@
         return run
 
     def _start_next(self, now: float) -> list[events.Record]:
+        if self._unavailable_reason():
+            # The next tick refuses what waits.
+            return []
         actions: list[events.Record] = []
         while (slot_request := self.admission.next_ready(now)) is not None:
             actions += self._start(slot_request.item, now)
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -56,3 +56,15 @@
     actions = answer_probe(plane, 200, REGAINED_AT + 0.02)
     assert len(build.of_type(actions, events.Run)) == 1
     assert plane.state().usable
+
+
+def test_waiting_work_does_not_start_at_a_target_that_says_it_leaves():
+    """Guards against one more request at a target that has just left."""
+    plane = build.make_execution()
+    for call_id in range(1, 6):
+        plane.call("10.0.0.2", build.make_call(call_id), 0.0)
+    answer = events.TargetResponse(200, [], b"ok", leaving=True)
+    actions = plane.handle_response(1, answer, 0.1)
+    assert not build.of_type(actions, events.Run)
+    (reply,) = build.sent_messages(plane.tick(0.12), base_messages.Reply)
+    assert (reply.call_id, reply.outcome) == (5, messages.NOT_RUN)
