Ask a target whether it stays while its registration is only held

Callers reached a target seconds after its removal had been acknowledged. Removals that a node sees after an outage of its source are held for up to 2.2 s, since entries lapse in an outage of the store and come back. The class: an unclear state is resolved by waiting, in favour of the less safe reading.

The node beside the target sees every request and can ask the target. When its registration is held it now pauses, probes, and goes on only if the target answers healthy and not leaving; else nothing more starts there and the peers are told. So a lapse costs a few ms instead of the targets, and a real removal is in force as soon as that node has heard of it. One probe a node and outage.

--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -13,6 +13,7 @@
 from hickorythread.mesh import probes
 from hickorythread.mesh import reasons
 from hickorythread.mesh import settings as mesh_settings
+from hickorythread.mesh import target_doubt
 from hickorythread.mesh import target_notices
 from hickorythread.mesh import view as mesh_view
 
@@ -92,6 +93,7 @@
         # Runs that lost their connection since the last result of a probe.
         self.interrupted_runs: list[Run] = []
         self.notices = target_notices.TargetNotices()
+        self.doubt = target_doubt.TargetDoubt()
 
     @property
     def idle(self) -> bool:
@@ -248,6 +250,12 @@
         )
         if result.warmup is not None:
             self._start_warmup(result.warmup, now)
+        actions += self.doubt.record_probe(
+            result, self.instance, self.probes.sent_at, now
+        )
+        if self.doubt.is_open:
+            # A later tick sends the next probe.
+            return actions + self._announce(now)
         if self.admission.paused and self.instance:
             self.admission.paused = False
             actions.append(
@@ -293,10 +301,14 @@
             # The warm-up rate is part of the configuration, which may arrive
             # after the report of the warm-up.
             self._start_warmup(self.warmup_ends_at - now, now)
-        if domain_restored:
+        actions: list[events.Record] = []
+        is_held = self.instance in self.view.pending_removals
+        if self.doubt.set_held(is_held, now):
+            actions = self._pause("registration-held", now)
+        elif domain_restored:
             # Targets may have become cold while they received no requests.
-            return self._pause("domain-returned", now)
-        return self._announce(now)
+            actions = self._pause("domain-returned", now)
+        return actions + self._announce(now)
 
     def stop(self, now: float) -> list[events.Record]:
         """Refuse new calls and complete the running ones."""
@@ -315,6 +327,8 @@
             return reasons.EVACUATED
         if self.notices.ending:
             return reasons.ENDING
+        if self.doubt.is_leaving:
+            return reasons.LEAVING
         target = self.view.targets.get(self.instance)
         if target is None:
             departed = self.instance in self.view.departed
