Notice a silent connection to the source after 2 s instead of 3

Callers reached leaving targets through nodes that count as in contact again: a watch whose connection has fallen silent was given up after 3.0 s (keepalive idle 1 s, two probes, one each second), as long as a node may be out of contact, and the new read and what follows came after that.

Connections to the source end with the first probe that stays unanswered and limit unacknowledged data to 1.9 s; streams and targets keep their times.

--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -52,7 +52,7 @@
         # A second copy of a response may arrive when the connection is in use
         # again. It is then one of the same topic, and an older one.
         self.sessions = {
-            topic: http_client.Session(host, port, keepalive.OPTIONS)
+            topic: http_client.Session(host, port, keepalive.SOURCE_OPTIONS)
             for topic in PREFIXES
         }
 
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -1,11 +1,16 @@
 """Tests of what nodes know about the end of a target."""
 
+import socket
+
 import pytest
 
 from hickorythread import messages as base_messages
 from hickorythread.mesh import events
+from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
+from hickorythread.platform import store
 from tests import mesh_builders as build
+from tests import store_standin
 
 # The source answers a node again only now, after a silent connection to it
 # was found; the removal is as old as the silence.
@@ -68,3 +73,35 @@
     assert not build.of_type(actions, events.Run)
     (reply,) = build.sent_messages(plane.tick(0.12), base_messages.Reply)
     assert (reply.call_id, reply.outcome) == (5, messages.NOT_RUN)
+
+
+# The shortest time after which a node that was cut off is relied on again.
+CONTACT_MS = 3_000
+# What is left for a new connection, a watch and a probe of the target.
+RECOVERY_MS = 1_000
+KEEPALIVE_OPTIONS = (
+    socket.TCP_KEEPIDLE,
+    socket.TCP_KEEPINTVL,
+    socket.TCP_KEEPCNT,
+    socket.TCP_USER_TIMEOUT,
+)
+
+
+def test_silent_connection_to_the_source_is_noticed_in_time():
+    """Guards against removals that are known only after 3 s of silence."""
+    standin = store_standin.Store()
+    try:
+        client = store.StoreClient(standin.address, build.REGIONS)
+        client.read(interfaces.TARGETS)
+        (connection,) = client.sessions[interfaces.TARGETS].idle
+        idle, interval, count, limit_ms = (
+            connection.sock.getsockopt(socket.IPPROTO_TCP, option)
+            for option in KEEPALIVE_OPTIONS
+        )
+    finally:
+        standin.close()
+    assert 1000 * (idle + count * interval) <= CONTACT_MS - RECOVERY_MS
+    # The kernel checks the limit whenever a probe is due.
+    probes = -(-limit_ms // (1000 * interval))
+    noticed_ms = 1000 * interval * probes
+    assert noticed_ms <= CONTACT_MS - RECOVERY_MS
