Keep an announced end that its removal supersedes in one response

Callers reached a target that had said that it leaves: a watch returns the last event of each key, so for a node that had missed both (a silent or lost connection) the announcement vanished behind the removal. The removal then looked like a lapsed registration and was held for up to 2.2 s more.

A removal now says whether an earlier event of the response announced it, and such a target is dropped at once.

--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -44,12 +44,17 @@
 
 
 class RemoveTarget(events.Record):
-    """Report a target that left or whose registration expired."""
+    """Report a target that left or whose registration expired.
 
-    __slots__ = ("target_id",)
+    announced is True if the target is known to have said before that it
+    leaves, in a change which this one supersedes.
+    """
+
+    __slots__ = ("target_id", "announced")
 
-    def __init__(self, target_id: str) -> None:
+    def __init__(self, target_id: str, announced: bool = False) -> None:
         self.target_id = target_id
+        self.announced = announced
 
 
 Change = PutConfiguration | SetEvacuated | PutTarget | RemoveTarget
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -222,13 +222,7 @@
             }
             self.view.replace_targets(puts, batch.revision, now)
         else:
-            removed = []
-            for change in batch.changes:
-                if isinstance(change, interfaces.PutTarget):
-                    self.view.put_target(change.target)
-                elif isinstance(change, interfaces.RemoveTarget):
-                    removed.append(change.target_id)
-            self.view.remove_targets(removed, now)
+            self.view.apply_changes(batch.changes, now)
             self.view.revision = max(self.view.revision, batch.revision)
         logs.info(
             "targets_changed",
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -6,6 +6,7 @@
 
 from hickorythread import codec
 from hickorythread.mesh import events
+from hickorythread.mesh import interfaces
 from hickorythread.mesh import models
 
 # Targets whose entries expired while the source was unreachable register again
@@ -21,6 +22,7 @@
 # What told that a target is gone.
 EVENT = "event"
 LIST = "list"
+ANNOUNCED = "announced"
 PEER = "peer"
 HOLD_ENDED = "hold-ended"
 
@@ -106,6 +108,21 @@
         self.targets[target.id] = target
         self._targets_changed()
 
+    def apply_changes(
+        self, changes: Iterable[interfaces.Change], now: float
+    ) -> None:
+        """Apply the changes of targets that a watch has returned."""
+        removed = []
+        for change in changes:
+            if isinstance(change, interfaces.PutTarget):
+                self.put_target(change.target)
+            elif isinstance(change, interfaces.RemoveTarget):
+                if change.announced:
+                    self._remove(change.target_id, ANNOUNCED)
+                else:
+                    removed.append(change.target_id)
+        self.remove_targets(removed, now)
+
     def remove_targets(
         self,
         target_ids: Iterable[str],
@@ -183,7 +200,6 @@
         """Replace the targets and pending removals by those of a peer."""
         self.revision = max(self.revision, revision)
         for target_id in self.targets.keys() - targets.keys():
-            self.pending_removals.pop(target_id, None)
             self._remove(target_id, PEER)
         for target in targets.values():
             self.put_target(target)
@@ -201,7 +217,6 @@
             if now >= due
         )
         for target_id in expired:
-            del self.pending_removals[target_id]
             self._remove(target_id, HOLD_ENDED)
         return expired
 
@@ -227,6 +242,7 @@
         return difference
 
     def _remove(self, target_id: str, reason: str) -> None:
+        self.pending_removals.pop(target_id, None)
         target = self.targets.pop(target_id, None)
         if target is None:
             return
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -96,6 +96,7 @@
             events = [item for item in result["events"] if item["rev"] > after]
             items = _latest_events(events)
             changes = self._decode_items(items)
+            self._mark_announced(changes, events)
             revision = result["store_revision"]
         except _StoreError as error:
             return _to_result(error)
@@ -177,6 +178,28 @@
             return interfaces.RemoveTarget(target_id)
         return interfaces.PutTarget(self._decode_target(target_id, item))
 
+    def _mark_announced(
+        self, changes: list[interfaces.Change], events: list[Any]
+    ) -> None:
+        """Tell which removed targets had announced in the events to leave."""
+        for change in changes:
+            if isinstance(change, interfaces.RemoveTarget):
+                key = TARGET_PREFIX + change.target_id
+                change.announced = any(
+                    self._says_draining(item)
+                    for item in events
+                    if item["key"] == key
+                )
+
+    def _says_draining(self, item: Any) -> bool:
+        try:
+            change = self._decode_item(item)
+        except documents.DocumentError:
+            return False
+        return (
+            isinstance(change, interfaces.PutTarget) and change.target.draining
+        )
+
     def _decode_target(self, target_id: str, item: Any) -> models.Target:
         value = documents.decode_value(item["value"])
         return documents.decode_target(target_id, value, self.regions)
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -84,6 +84,20 @@
     return models.Target(**(fields | values))
 
 
+def make_entry_document(**values):
+    return {
+        "service": "spec-desk",
+        "address": "10.0.0.1:8080",
+        "zone": "launceston",
+        "version": "v1",
+        "concurrency": 12,
+        "phase": "ready",
+        "warmup_left_ms": 1500,
+        "seq": 4,
+        "born": 1790000000000,
+    } | values
+
+
 def make_view(targets=3, configuration=None):
     new_view = view.View()
     new_view.put_configuration(configuration or make_configuration())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,20 +25,6 @@
 )
 
 
-def make_entry_document(**values):
-    return {
-        "service": "spec-desk",
-        "address": "10.0.0.1:8080",
-        "zone": "launceston",
-        "version": "v1",
-        "concurrency": 12,
-        "phase": "ready",
-        "warmup_left_ms": 1500,
-        "seq": 4,
-        "born": 1790000000000,
-    } | values
-
-
 def make_configuration_document(version=7):
     return {
         "version": version,
@@ -106,7 +92,7 @@
 
 def test_target_is_decoded_into_named_fields():
     target = documents.decode_target(
-        "i-1", make_entry_document(), build.REGIONS
+        "i-1", build.make_entry_document(), build.REGIONS
     )
     assert (target.host_id, target.slots, target.draining) == (
         "10.0.0.1",
@@ -138,13 +124,13 @@
     """Guards against traffic to the address in a forged entry."""
     with pytest.raises(documents.DocumentError):
         documents.decode_target(
-            "i-1", make_entry_document(**values), build.REGIONS
+            "i-1", build.make_entry_document(**values), build.REGIONS
         )
 
 
 @pytest.mark.parametrize("field", ["service", "address", "zone", "phase"])
 def test_entry_without_a_field_names_no_target(field):
-    document = make_entry_document()
+    document = build.make_entry_document()
     del document[field]
     with pytest.raises(documents.DocumentError):
         documents.decode_target("i-1", document, build.REGIONS)
@@ -169,7 +155,7 @@
 
 def test_pages_are_read_to_the_end_and_bad_entries_left_out(standin):
     for number in range(8):
-        standin.put(f"servers/i-{number}", make_entry_document())
+        standin.put(f"servers/i-{number}", build.make_entry_document())
     standin.put_bytes("servers/i-9", b"\xff")
     batch = make_client(standin).read(interfaces.TARGETS).ok
     puts = [
@@ -183,10 +169,10 @@
 
 def test_watch_returns_what_changed_after_the_first_page(standin):
     """Guards against losing a change made between two pages."""
-    standin.put("servers/i-1", make_entry_document())
+    standin.put("servers/i-1", build.make_entry_document())
     client = make_client(standin)
     revision = client.read(interfaces.TARGETS).ok.revision
-    standin.put("servers/i-2", make_entry_document(phase="draining"))
+    standin.put("servers/i-2", build.make_entry_document(phase="draining"))
     standin.delete("servers/i-1")
     batch = client.watch(interfaces.TARGETS, revision, 1.0).ok
     put, removed = batch.changes
@@ -195,7 +181,7 @@
 
 
 def test_entry_that_becomes_unreadable_is_removed(standin):
-    standin.put("servers/i-1", make_entry_document())
+    standin.put("servers/i-1", build.make_entry_document())
     client = make_client(standin)
     revision = client.read(interfaces.TARGETS).ok.revision
     standin.put_bytes("servers/i-1", b"{")
@@ -407,7 +393,7 @@
 
 
 def make_item(number, revision):
-    data = base64.b64encode(json.dumps(make_entry_document()).encode())
+    data = base64.b64encode(json.dumps(build.make_entry_document()).encode())
     return {
         "key": f"servers/i-{number}",
         "value": data.decode(),
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,6 +16,7 @@
 import pytest
 
 from tests import store_standin
+from tests import mesh_builders as build
 from tests import test_platform
 from tests import test_server
 
@@ -125,7 +126,7 @@
 
     def register(self, host, **values):
         instance = self.targets[host].instance
-        document = test_platform.make_entry_document(
+        document = build.make_entry_document(
             address=f"{host}:{self.ports['target']}",
             zone=HOSTS[host],
             warmup_left_ms=0,
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -8,6 +8,7 @@
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
+from hickorythread.mesh import view as mesh_view
 from hickorythread.platform import store
 from tests import mesh_builders as build
 from tests import store_standin
@@ -105,3 +106,24 @@
     probes = -(-limit_ms // (1000 * interval))
     noticed_ms = 1000 * interval * probes
     assert noticed_ms <= CONTACT_MS - RECOVERY_MS
+
+
+def test_announced_end_counts_although_the_removal_supersedes_it():
+    """Guards against a known end that is held like a lapsed registration."""
+    standin = store_standin.Store()
+    try:
+        client = store.StoreClient(standin.address, build.REGIONS)
+        standin.put("servers/t1", build.make_entry_document())
+        standin.put("servers/t2", build.make_entry_document())
+        batch = client.read(interfaces.TARGETS).ok
+        made_view = mesh_view.View()
+        made_view.apply_changes(batch.changes, 0.0)
+        standin.put("servers/t1", build.make_entry_document(phase="draining"))
+        standin.delete("servers/t1")
+        standin.delete("servers/t2")
+        made_view.start_grace_period(10.0)
+        batch = client.watch(interfaces.TARGETS, batch.revision, 0.0).ok
+        made_view.apply_changes(batch.changes, 10.0)
+    finally:
+        standin.close()
+    assert list(made_view.targets) == ["t2"]
