Keep the end of a target process against entries that are older

Callers would reach a leaving target again whenever an older entry of it came in: put_target took any entry with the id, so that one of the same process that says ready, a late heartbeat or an older copy of the store, undid its announcement, and one of the process before replaced its successor. The class: a state that can only move forward was stored as the last word heard.

Ends are remembered by id and start time, also after the removal; an entry of the same process stays draining, one of an earlier process is ignored, one of a later process is served. Both are logged and counted (target_end_kept, target_older).

--- a/src/hickorythread/mesh/models.py
+++ b/src/hickorythread/mesh/models.py
@@ -206,3 +206,8 @@
     def host_id(self) -> str:
         """Return the IP address of the host, also the id of its sidecar."""
         return utils.split_address(self.address)[0]
+
+    def as_draining(self) -> "Target":
+        """Return this target as one that has announced its end."""
+        values = dict(zip(self.__slots__, self.values(), strict=True))
+        return Target(**(values | {"draining": True}))
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from hickorythread import codec
+from hickorythread.mesh import ends
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import models
@@ -49,6 +50,7 @@
         self.differences: dict[int, bytes] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.departed: dict[str, None] = {}
+        self.ends = ends.EndedTargets()
         self.revision = 0
         self.operator_revision = 0
         self.grace_until = 0.0
@@ -97,17 +99,35 @@
         return changed
 
     def put_target(self, target: models.Target) -> None:
-        """Add or replace a target."""
+        """Add or replace a target.
+
+        An entry can be older than what is known: a process that has announced
+        its end does not take it back, and one that was followed by another
+        does not return.
+        """
+        known = self.targets.get(target.id)
+        if known is not None and target.started_at_ms < known.started_at_ms:
+            self._log("target_older", target, known=known.started_at_ms)
+            return
         self.pending_removals.pop(target.id, None)
         self.departed.pop(target.id, None)
-        known = self.targets.get(target.id)
+        if not target.draining and self.ends.includes(target):
+            target = target.as_draining()
+            if target != known:
+                self._log("target_end_kept", target)
         if known == target:
             return
-        if target.draining and not (known and known.draining):
+        if target.draining and self._record_end(target):
             self._log("target_draining", target)
         self.targets[target.id] = target
         self._targets_changed()
 
+    def _record_end(self, target: models.Target) -> bool:
+        """Remember that a process ends; return whether that was not known."""
+        return self.ends.record(
+            target.id, target.host_id, target.started_at_ms
+        )
+
     def apply_changes(
         self, changes: Iterable[interfaces.Change], now: float
     ) -> None:
@@ -247,6 +267,7 @@
         if target is None:
             return
         self.departed[target_id] = None
+        self.ends.forget_undated(target_id)
         while len(self.departed) > MAX_DEPARTED_TARGETS:
             del self.departed[next(iter(self.departed))]
         self._log("target_removed", target, reason=reason)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -15,8 +15,8 @@
 
 import pytest
 
-from tests import store_standin
 from tests import mesh_builders as build
+from tests import store_standin
 from tests import test_platform
 from tests import test_server
 
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -127,3 +127,45 @@
     finally:
         standin.close()
     assert list(made_view.targets) == ["t2"]
+
+
+def test_process_that_has_announced_its_end_does_not_take_it_back():
+    """Guards against an older entry that brings a leaving target back."""
+    made_view = build.make_view()
+    made_view.put_target(build.make_target(1, draining=True, started_at_ms=5))
+    made_view.put_target(build.make_target(1, started_at_ms=5))
+    assert made_view.targets["t1"].draining
+    made_view.put_target(build.make_target(1, started_at_ms=6))
+    assert not made_view.targets["t1"].draining
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_older_process_does_not_replace_a_newer_one(draining):
+    """Guards against an old process that is served again."""
+    made_view = build.make_view()
+    made_view.put_target(build.make_target(1, started_at_ms=6))
+    old = build.make_target(1, started_at_ms=5, draining=draining)
+    made_view.put_target(old)
+    made_view.adopt_targets({"t1": old}, 9, {})
+    target = made_view.targets["t1"]
+    assert target.started_at_ms == 6 and not target.draining
+
+
+def test_end_is_remembered_after_the_removal():
+    """Guards against a target that an older list brings back."""
+    made_view = build.make_view()
+    made_view.put_target(build.make_target(1, draining=True, started_at_ms=5))
+    made_view.remove_targets(["t1"], 1.0)
+    made_view.put_target(build.make_target(1, started_at_ms=5))
+    assert made_view.targets["t1"].draining
+
+
+def test_process_without_a_start_time_may_follow_another_one():
+    """Guards against a successor with the same id that is never used."""
+    made_view = build.make_view()
+    made_view.put_target(build.make_target(1, draining=True))
+    made_view.put_target(build.make_target(1))
+    assert made_view.targets["t1"].draining
+    made_view.remove_targets(["t1"], 1.0)
+    made_view.put_target(build.make_target(1))
+    assert not made_view.targets["t1"].draining
