Remember the end that a target announces in its responses

An end that a target had announced in its responses was dropped by a healthy probe without the header, by any answer after a failed probe, and by any other start time; other nodes did not note it if the entry was away or had no start time, and a restarted node had to hear it again. Callers would then reach a target that had told this very node that it leaves.

The end is now part of the view, by id and start time, whoever heard it: the node beside the target, its announcement, the reply itself (ending_target), or a peer when a stream opens (TargetEnd, for a restarted node). It is over once a later process is registered and a probe sent after that is healthy; that probe is sent at once. Cost: one message a stream with a known end.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -41,6 +41,9 @@
 MIN_RETRY_RESERVE = 1.0
 INITIAL_RETRIES = 1.0
 MIN_SERVER_ERROR_STATUS = 500
+# What told that a target ends: its response, or a message of its node.
+RESPONSE = "response"
+PEER = "peer"
 # Statuses that promise the client that its request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -138,6 +141,9 @@
             return self._handle_unknown_outcome(
                 pending, 502, "malformed-reply", now
             )
+        if message.ending_target:
+            # Known even if the announcement on another stream is lost.
+            self._note_end(pending, message.ending_target)
         if message.outcome == messages.COMPLETE:
             return self._handle_complete(pending, message, now)
         if message.outcome == messages.NOT_RUN:
@@ -197,10 +203,10 @@
         peer.usable = message.usable
         if _is_load(message.load):
             peer.update_load(message.load, now)
-        if message.reason == reasons.ENDING:
-            target = self.view.targets.get(message.instance)
-            if target is not None:
-                self.placement.note_ending(target)
+        if message.reason == reasons.ENDING and message.instance:
+            self.view.note_end(
+                message.instance, host_id, message.started_at_ms, PEER
+            )
         if not changed:
             return []
         return [
@@ -287,6 +293,7 @@
         pending.call_id = self.last_call_id
         pending.host_id = target.host_id
         pending.target_id = target.id
+        pending.target_started_at_ms = target.started_at_ms
         pending.sent_at = now
         pending.tried_hosts.add(target.host_id)
         peer = self.placement.peer(target.host_id)
@@ -346,6 +353,15 @@
             held=len(self.view.pending_removals),
         )
 
+    def _note_end(
+        self, pending: pending_request.PendingRequest, target_id: str
+    ) -> None:
+        """Record that the target of a response has announced its end."""
+        started_at_ms = 0
+        if target_id == pending.target_id:
+            started_at_ms = pending.target_started_at_ms
+        self.view.note_end(target_id, pending.host_id, started_at_ms, RESPONSE)
+
     def _handle_complete(
         self,
         pending: pending_request.PendingRequest,
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -1,6 +1,7 @@
 """Run requests at the target on this host, each at most once."""
 
 import collections
+import http
 from typing import Any
 
 from hickorythread import exceptions
@@ -20,6 +21,8 @@
 DEFAULT_SLOTS = 4
 DEFAULT_HEALTH_PATH = "/healthz"
 MAX_FINISHED_CALLS = 4096
+# What told that the target ends, beside its responses.
+PEER = "peer"
 # A target that is warming up gets only this part of the excess that the
 # settings allow over its warm-up rate. Starts that reach it in bunches then
 # still stay within the limit.
@@ -186,6 +189,8 @@
         reply = self._make_reply(
             run, messages.COMPLETE, response.status, "", response.headers
         )
+        if response.leaving:
+            reply.ending_target = run.instance
         reply.body = response.body
         reply.body_length = len(response.body)
         return [
@@ -229,11 +234,11 @@
                 actions += self._report_crash(run, now)
             # A later tick sends the next probe.
             return actions + self._announce(now)
-        was_down, self.down = self.down, False
-        is_healthy = result.status == 200 and not result.leaving
-        if was_down or is_healthy:
-            # A target that responds again or no longer ends was restarted.
-            self.notices.ending = False
+        self.down = False
+        if result.status == http.HTTPStatus.OK and not result.leaving:
+            actions += self.notices.record_healthy(
+                self.probes.sent_at, self.instance
+            )
         if result.instance and result.instance != self.instance:
             self.notices.reset()
             actions.append(
@@ -331,8 +336,9 @@
             return reasons.LEAVING
         target = self.view.targets.get(self.instance)
         if target is None:
-            departed = self.instance in self.view.departed
-            return reasons.LEAVING if departed else ""
+            gone = self.instance in self.view.departed
+            gone |= self.view.ends.covers(self.instance, self._started_at_ms())
+            return reasons.LEAVING if gone else ""
         if target.service != self.settings.service:
             return reasons.OTHER_SERVICE
         return reasons.LEAVING if target.draining else ""
@@ -377,6 +383,13 @@
         logs = self.notices.record(
             response, self.instance, source, asked_at, now
         )
+        if response.leaving and self.instance:
+            self.view.note_end(
+                self.instance,
+                self.settings.host_id,
+                self._started_at_ms(),
+                source,
+            )
         self.admission.set_rate_limit(self.notices.rate_limit, now)
         return logs + self._announce(now) if logs else []
 
@@ -472,17 +485,34 @@
         path = service.health_path if service else DEFAULT_HEALTH_PATH
         return [events.Probe(path)]
 
+    def end_reported(
+        self, message: messages.TargetEnd, now: float
+    ) -> list[events.Record]:
+        """Take over from a peer that the target has announced its end."""
+        self.view.note_end(
+            message.target_id,
+            self.settings.host_id,
+            message.started_at_ms,
+            PEER,
+        )
+        return self._announce(now)
+
+    def _started_at_ms(self) -> int:
+        """Return when the target started, 0 if that is not known."""
+        known = self.registration
+        if known is None or known.id != self.instance:
+            return 0
+        return known.started_at_ms
+
     def _apply_registration(self, now: float) -> None:
         """Apply the slots and the warm-up of the target's registration."""
         target = self.view.targets.get(self.instance)
         if target is None or target == self.registration:
             return
-        known = self.registration
-        if known is not None and known.id == target.id:
-            if known.started_at_ms != target.started_at_ms:
-                # Another process has started with the same id.
-                self.notices.ending = False
         self.registration = target
+        if not self.view.ends.includes(target):
+            if self.notices.successor_registered(now):
+                self.probes.hasten(now)
         self.admission.slots = target.slots
         if target.warmup_seconds > 0 and not self.admission.is_warming_up(now):
             self._start_warmup(target.warmup_seconds, now)
@@ -517,6 +547,7 @@
             reason,
             self.admission.load(),
             self.instance,
+            self._started_at_ms(),
         )
         return [
             events.Broadcast(message),
@@ -536,6 +567,7 @@
             reason,
             self.admission.load(),
             self.instance,
+            self._started_at_ms(),
         )
 
     def _log(
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -93,14 +93,22 @@
 
     load holds the running and queued requests, the limit, a latency in ms and
     1 under a rate limit, else 0. instance is the id of the target, empty if
-    it is not known.
+    it is not known, and started_at_ms the Unix time of its start, 0 if that
+    is not known.
     """
 
-    __slots__ = ("service", "usable", "reason", "load", "instance")
+    __slots__ = (
+        "service",
+        "usable",
+        "reason",
+        "load",
+        "instance",
+        "started_at_ms",
+    )
     code = 41
-    types = (str, bool, str, list, str)
-    # Nodes of earlier releases do not name the instance.
-    defaults = ("",)
+    types = (str, bool, str, list, str, int)
+    # Nodes of earlier releases do not name the target process.
+    defaults = ("", 0)
 
     def __init__(
         self,
@@ -109,12 +117,29 @@
         reason: str,
         load: list[int],
         instance: str = "",
+        started_at_ms: int = 0,
     ) -> None:
         self.service = service
         self.usable = usable
         self.reason = reason
         self.load = load
         self.instance = instance
+        self.started_at_ms = started_at_ms
+
+
+class TargetEnd(messages.Message):
+    """Tell the node beside a target that the target has announced its end.
+
+    Sent when a stream opens: that node may have been restarted since.
+    """
+
+    __slots__ = ("target_id", "started_at_ms")
+    code = 46
+    types = (str, int)
+
+    def __init__(self, target_id: str, started_at_ms: int) -> None:
+        self.target_id = target_id
+        self.started_at_ms = started_at_ms
 
 
 class ViewRequest(messages.Message):
@@ -221,6 +246,7 @@
 for _message in (
     Forward,
     TargetState,
+    TargetEnd,
     ViewRequest,
     ViewReply,
     ViewNotice,
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -413,6 +413,9 @@
         """Send this node's state to a newly connected node."""
         self.entry.peer_connected(peer.host_id)
         self.streams.send(peer.host_id, self.execution.state())
+        for end in self.view.ends.on_host(peer.host_id):
+            message = messages.TargetEnd(end.target_id, end.started_at_ms)
+            self.streams.send(peer.host_id, message)
         self.synchronizer.peer_connected(peer)
         logs.info("peer_connected", peer=peer.host_id)
 
@@ -458,6 +461,8 @@
             self.perform(self.execution.cancel(host_id, message.call_id, now))
         elif message_type is messages.TargetState:
             self.perform(self.entry.target_state(host_id, message, now))
+        elif message_type is messages.TargetEnd:
+            self.perform(self.execution.end_reported(message, now))
         elif message_type is messages.ViewNotice:
             self.synchronizer.notice_received(host_id, message)
         elif message_type is messages.ViewRequest:
--- a/src/hickorythread/mesh/pending_request.py
+++ b/src/hickorythread/mesh/pending_request.py
@@ -24,6 +24,7 @@
         "call_id",
         "host_id",
         "target_id",
+        "target_started_at_ms",
         "sent_at",
         "runs",
         "refusals",
@@ -48,6 +49,7 @@
         self.call_id = 0
         self.host_id = ""
         self.target_id = ""
+        self.target_started_at_ms = 0
         self.sent_at = 0.0
         self.runs = 0
         self.refusals = 0
--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -28,7 +28,6 @@
 # spent. The wait that a refusal names may be longer, but other nodes may send
 # less by then.
 MAX_RATE_REFUSAL_SECONDS = 0.25
-MAX_ENDING_TARGETS = 1024
 
 # Reason of an exclusion.
 RATE_LIMITED = "rate-limited"
@@ -162,8 +161,6 @@
         self.random_source = random_source
         self.peers: dict[str, PeerState] = {}
         self.connected: set[str] = {host_id}
-        # Start times of the target processes that have announced their end.
-        self.ending: dict[str, int] = {}
         self.tiers: dict[
             int,
             tuple[
@@ -251,8 +248,6 @@
         host_id = target.host_id
         if target.draining:
             return "draining"
-        if self.ending and self.ending.get(target.id) == target.started_at_ms:
-            return "ending"
         if target.failure_domain in evacuated:
             return "evacuated"
         if host_id not in self.connected:
@@ -271,17 +266,6 @@
             return RATE_LIMITED
         return ""
 
-    def note_ending(self, target: models.Target) -> None:
-        """Exclude a target process that has announced its end.
-
-        Its node may be restarted and then know nothing of that.
-        """
-        if not target.started_at_ms:
-            return
-        self.ending[target.id] = target.started_at_ms
-        if len(self.ending) > MAX_ENDING_TARGETS:
-            del self.ending[next(iter(self.ending))]
-
     def has_rate_limit(self, targets: Collection[models.Target]) -> bool:
         """Return whether one of the targets has reported a rate limit."""
         return any(
--- a/src/hickorythread/mesh/probes.py
+++ b/src/hickorythread/mesh/probes.py
@@ -21,6 +21,11 @@
         self.running = True
         self.sent_at = now
 
+    def hasten(self, now: float) -> None:
+        """Let the next probe be due at once, unless one is running."""
+        if not self.running:
+            self.sent_at = now - ENDING_INTERVAL_SECONDS
+
     def is_due(self, paused: bool, ending: bool, now: float) -> bool:
         """Return whether to probe a target that is paused or about to end.
 
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -232,8 +232,7 @@
         )
 
     def _view_updated(self, previously_evacuated: frozenset[str]) -> None:
-        for log in self.view.take_logs():
-            self.on_decision(log)
+        self._report_decisions()
         regions = self.settings.regions
         region = regions.get(self.settings.failure_domain)
         hosts: dict[str, set[str]] = {}
@@ -245,6 +244,10 @@
         self.reader_selection.set_hosts(hosts)
         self.view_changed(previously_evacuated)
 
+    def _report_decisions(self) -> None:
+        for log in self.view.take_logs():
+            self.on_decision(log)
+
     # Exchange with peers.
 
     def expire(self, now: float) -> None:
@@ -253,6 +256,7 @@
         if expired:
             logs.info("targets_lapsed", count=len(expired))
             self._view_updated(self.view.evacuated)
+        self._report_decisions()
 
     def request_if_behind(self, now: float) -> None:
         """Request a peer's view if reads fail or this node lags behind."""
--- a/src/hickorythread/mesh/target_notices.py
+++ b/src/hickorythread/mesh/target_notices.py
@@ -17,12 +17,20 @@
     It holds until a response names another one, or none to a request that
     was sent later; a probe without one says nothing of it. ending is True
     once the target has said that it is about to end; a process does not take
-    that back. starts counts the requests that started since the limit last
-    changed, and unreadable holds the lines of the last response that could
-    not be read.
+    that back. successor_since is the time since which the target's id is
+    registered by what may be another process, None if it is not. starts
+    counts the requests that started since the limit last changed, and
+    unreadable holds the lines of the last response that could not be read.
     """
 
-    __slots__ = ("rate_limit", "named_at", "ending", "starts", "unreadable")
+    __slots__ = (
+        "rate_limit",
+        "named_at",
+        "ending",
+        "successor_since",
+        "starts",
+        "unreadable",
+    )
 
     def __init__(self) -> None:
         self.reset()
@@ -32,9 +40,32 @@
         self.rate_limit: float | None = None
         self.named_at = -math.inf
         self.ending = False
+        self.successor_since: float | None = None
         self.starts = 0
         self.unreadable: tuple[str, ...] = ()
 
+    def successor_registered(self, now: float) -> bool:
+        """Record that the id may belong to another process; return if new."""
+        if not self.ending or self.successor_since is not None:
+            return False
+        self.successor_since = now
+        return True
+
+    def record_healthy(
+        self, asked_at: float, instance: str
+    ) -> list[events.Record]:
+        """End the announced end if another process must have answered.
+
+        A healthy response alone does not show that: it may be false, or older
+        than the announcement.
+        """
+        since = self.successor_since
+        if not self.ending or since is None or asked_at < since:
+            return []
+        self.ending = False
+        self.successor_since = None
+        return [events.Log("target_succeeded", instance=instance)]
+
     def record(
         self,
         response: events.TargetResponse,
@@ -52,6 +83,8 @@
             logs += self._record_limit(response.rate_limit, instance, source)
         if response.rate_limit is not None:
             self.named_at = now
+        if response.leaving:
+            self.successor_since = None
         if response.leaving and not self.ending:
             self.ending = True
             logs.append(
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -112,9 +112,8 @@
         self.pending_removals.pop(target.id, None)
         self.departed.pop(target.id, None)
         if not target.draining and self.ends.includes(target):
+            self._log("target_end_kept", target)
             target = target.as_draining()
-            if target != known:
-                self._log("target_end_kept", target)
         if known == target:
             return
         if target.draining and self._record_end(target):
@@ -122,6 +121,33 @@
         self.targets[target.id] = target
         self._targets_changed()
 
+    def note_end(
+        self, target_id: str, host_id: str, started_at_ms: int, source: str
+    ) -> None:
+        """Record that a target process has announced its end.
+
+        started_at_ms is 0 if the node that heard it does not know the start;
+        it is then taken to be that of the registration, if there is one.
+        """
+        target = self.targets.get(target_id)
+        if target is not None and not started_at_ms:
+            started_at_ms = target.started_at_ms
+        if not self.ends.record(target_id, host_id, started_at_ms):
+            return
+        self.logs.append(
+            events.Log(
+                "target_ended",
+                target=target_id,
+                started_at=started_at_ms,
+                registered=target is not None,
+                revision=self.revision,
+                source=source,
+            )
+        )
+        if target is not None and self.ends.includes(target):
+            self.targets[target_id] = target.as_draining()
+            self._targets_changed()
+
     def _record_end(self, target: models.Target) -> bool:
         """Remember that a process ends; return whether that was not known."""
         return self.ends.record(
--- a/src/hickorythread/messages.py
+++ b/src/hickorythread/messages.py
@@ -461,7 +461,8 @@
     """Reply to a call.
 
     load holds the in-flight count, queue length, limit and ramp flag of the
-    owner. body_length lets the receiver detect a truncated body.
+    owner. body_length lets the receiver detect a truncated body. ending_target
+    is the id of the target if its response says that it is about to end.
     """
 
     __slots__ = (
@@ -474,9 +475,12 @@
         "reason",
         "retry_after",
         "load",
+        "ending_target",
     )
     code = 18
-    types = (int, str, int, list, bytes, int, str, float, list)
+    types = (int, str, int, list, bytes, int, str, float, list, str)
+    # Nodes of earlier releases do not name it.
+    defaults = ("",)
 
     def __init__(
         self,
@@ -489,6 +493,7 @@
         reason: str,
         retry_after: float,
         load: list[int],
+        ending_target: str = "",
     ) -> None:
         self.call_id = call_id
         self.outcome = outcome
@@ -499,6 +504,7 @@
         self.reason = reason
         self.retry_after = retry_after
         self.load = load
+        self.ending_target = ending_target
 
 
 class Cancel(Message):
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -178,6 +178,13 @@
     )
 
 
+def make_state(instance="", **values):
+    """Return the announcement of a target that accepts requests."""
+    return messages.TargetState(
+        "spec-desk", True, "", [0, 0, 4], instance, **values
+    )
+
+
 def of_type(actions, kind):
     return [action for action in actions if isinstance(action, kind)]
 
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -456,24 +456,6 @@
     assert (reply.outcome, reply.reason) == (messages.NOT_RUN, "ending")
 
 
-@pytest.mark.parametrize(
-    ("status", "leaving", "usable"),
-    [(200, False, True), (200, True, False), (503, False, False)],
-)
-def test_only_a_healthy_probe_ends_an_announced_end(status, leaving, usable):
-    """Guards against a successor with the same id that gets nothing."""
-    plane = build.make_execution()
-    plane.call("10.0.0.2", build.make_call(1), 0.0)
-    answer = events.TargetResponse(200, [], b"ok", leaving=True)
-    plane.handle_response(1, answer, 0.1)
-    assert build.of_type(plane.tick(3.0), events.Probe)
-    answer = events.TargetResponse(
-        status, [], b"", instance="t1", leaving=leaving
-    )
-    plane.handle_probe_result(answer, 3.1)
-    assert plane.state().usable == usable
-
-
 def test_probe_without_a_limit_does_not_end_it():
     """Guards against a limit lost to a health check that names none."""
     plane = build.make_execution()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -281,8 +281,14 @@
     before = len(mesh.targets[SOUTH].runs)
     for _ in range(5):
         assert mesh.request(SOUTH, "/x/2")[2] == b"i-1 /x/2"
-    assert len(mesh.targets[SOUTH].runs) == before
+    # An older entry of the same process does not take it back.
     mesh.register(SOUTH)
+    mesh.wait_until(lambda: "target_end_kept" in mesh.read_log(SOUTH))
+    for _ in range(5):
+        assert mesh.request(SOUTH, "/x/2")[2] == b"i-1 /x/2"
+    assert len(mesh.targets[SOUTH].runs) == before
+    born = build.make_entry_document()["born"] + 1
+    mesh.register(SOUTH, born=born)
     mesh.wait_until(lambda: mesh.request(SOUTH, "/x/3")[2] == b"i-2 /x/3")
 
 
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -169,3 +169,161 @@
     made_view.remove_targets(["t1"], 1.0)
     made_view.put_target(build.make_target(1))
     assert not made_view.targets["t1"].draining
+
+
+def make_ended_view(started_at_ms=5):
+    made_view = build.make_view()
+    for number in (1, 2, 3):
+        made_view.put_target(
+            build.make_target(number, started_at_ms=started_at_ms)
+        )
+    return made_view
+
+
+def make_end_state(**values):
+    return messages.TargetState(
+        "spec-desk", False, "ending", [0, 0, 4], "t2", **values
+    )
+
+
+def used_hosts(plane, now):
+    """Return the hosts to which a plane sends some requests."""
+    used = set()
+    for number in range(1, 13):
+        request = build.make_request(number, received_at=now)
+        actions = plane.request(request, now)
+        used |= {send.host_id for send in build.of_type(actions, events.Send)}
+    assert used
+    return used
+
+
+def test_end_that_is_announced_without_a_registration_is_remembered():
+    """Guards against an end that is forgotten because the entry was away."""
+    made_view = make_ended_view()
+    plane = build.make_entry(made_view)
+    made_view.remove_targets(["t2"], 1.0)
+    plane.target_state("10.0.0.2", make_end_state(started_at_ms=5), 1.1)
+    plane.target_state("10.0.0.2", build.make_state("t2"), 1.2)
+    made_view.put_target(build.make_target(2, started_at_ms=5))
+    plane.view_changed()
+    assert "10.0.0.2" not in used_hosts(plane, 1.3)
+    made_view.put_target(build.make_target(2, started_at_ms=6))
+    plane.view_changed()
+    assert "10.0.0.2" in used_hosts(plane, 1.4)
+
+
+def test_end_of_a_target_without_a_start_time_is_remembered():
+    """Guards against a target that only its restarted node calls usable."""
+    plane = build.make_entry(make_ended_view(started_at_ms=0))
+    plane.target_state("10.0.0.2", make_end_state(), 1.1)
+    plane.target_state("10.0.0.2", build.make_state("t2"), 1.2)
+    assert "10.0.0.2" not in used_hosts(plane, 1.3)
+
+
+def test_response_tells_the_entry_node_that_its_target_ends():
+    """Guards against an announcement that was lost on another stream."""
+    owner = build.make_execution(number=2)
+    owner.call("10.0.0.1", build.make_call(), 0.0)
+    answer = events.TargetResponse(200, [], b"ok", leaving=True)
+    (reply,) = build.sent_messages(
+        owner.handle_response(1, answer, 0.1), base_messages.Reply
+    )
+    plane = build.make_entry(make_ended_view())
+    plane.placement.suspend("10.0.0.1", 9.0, 0.0)
+    plane.placement.suspend("10.0.0.3", 9.0, 0.0)
+    (call,) = build.sent_messages(
+        plane.request(build.make_request(), 0.0), messages.Forward
+    )
+    reply.call_id = call.call_id
+    plane.reply("10.0.0.2", reply, 0.1)
+    assert plane.view.targets["t2"].draining
+
+
+def test_restarted_node_learns_from_its_peers_that_its_target_ends():
+    """Guards against an end that only the former process knew."""
+    plane = build.make_execution(make_ended_view(), number=2)
+    assert plane.state().usable
+    actions = plane.end_reported(messages.TargetEnd("t2", 5), 0.1)
+    (state,) = build.of_type(actions, events.Broadcast)
+    assert not state.message.usable
+    actions = plane.call("10.0.0.1", build.make_call(), 0.2)
+    assert not build.of_type(actions, events.Run)
+
+
+def test_end_that_a_peer_reports_does_not_stop_a_later_process():
+    plane = build.make_execution(make_ended_view(started_at_ms=6), number=2)
+    plane.end_reported(messages.TargetEnd("t2", 5), 0.1)
+    assert plane.state().usable
+
+
+def make_plane_whose_target_ends(started_at_ms=5):
+    plane = build.make_execution(make_ended_view(started_at_ms))
+    plane.view_changed(False, 0.0)
+    plane.call("10.0.0.2", build.make_call(), 0.0)
+    answer = events.TargetResponse(200, [], b"ok", leaving=True)
+    plane.handle_response(1, answer, 0.1)
+    assert not plane.state().usable
+    return plane
+
+
+def test_healthy_probe_does_not_take_back_an_announced_end():
+    """Guards against a health check that is false or was overtaken."""
+    plane = make_plane_whose_target_ends()
+    assert build.of_type(plane.tick(3.0), events.Probe)
+    answer_probe(plane, 200, 3.1)
+    assert not plane.state().usable
+
+
+def test_probe_after_a_failed_one_does_not_take_back_an_announced_end():
+    """Guards against a busy target that is taken for its successor."""
+    plane = make_plane_whose_target_ends()
+    plane.tick(3.0)
+    plane.handle_probe_result(events.Failure("lost"), 3.1)
+    plane.tick(6.0)
+    answer_probe(plane, 200, 6.1)
+    assert not plane.state().usable
+
+
+@pytest.mark.parametrize(
+    ("started_at_ms", "status", "leaving", "usable"),
+    [
+        (6, 200, False, True),
+        (6, 200, True, False),
+        (6, 503, False, False),
+        (4, 200, False, False),
+    ],
+)
+def test_only_a_later_process_that_is_healthy_succeeds_an_ended_one(
+    started_at_ms, status, leaving, usable
+):
+    """Guards against a successor with the same id that gets nothing."""
+    plane = make_plane_whose_target_ends()
+    plane.view.put_target(build.make_target(1, started_at_ms=started_at_ms))
+    plane.view_changed(False, 1.0)
+    assert not plane.state().usable
+    plane.tick(1.0)
+    plane.tick(3.0)
+    answer_probe(plane, status, 3.1, leaving=leaving)
+    assert plane.state().usable == usable
+
+
+def test_successor_is_asked_at_once():
+    """Guards against a new process that waits for the next slow probe."""
+    plane = make_plane_whose_target_ends()
+    plane.view.put_target(build.make_target(1, started_at_ms=6))
+    plane.view_changed(False, 1.0)
+    assert build.of_type(plane.tick(1.02), events.Probe)
+
+
+def test_registration_that_comes_late_does_not_take_back_an_end():
+    """Guards against the process that ends passing for its successor.
+
+    Its registration is that of its predecessor until the source tells more.
+    """
+    plane = make_plane_whose_target_ends(started_at_ms=4)
+    plane.view.put_target(build.make_target(1, started_at_ms=5))
+    plane.view_changed(False, 1.0)
+    plane.tick(1.02)
+    answer_probe(plane, 200, 1.1, leaving=True)
+    assert not plane.state().usable
+    assert plane.view.targets["t1"].draining
