Follow a source that was restored from an older copy

The era of the store was read nowhere: a list with a lower revision was ignored as a whole, so that targets that had gone stayed and new ones stayed unknown; a watch went on from a number that meant something else, and skipped what was written under numbers that were given out again; peers compared revisions alone; and an evacuation ended because the copy lacked it. The class: a position without the history that it belongs to.

Positions are (era, revision), for targets and for what the operator writes, with peers as well (fields with defaults, older releases state none). A watch answered in another era is followed by a list; pages of two eras are no list. Each decision is logged with era and revision and counted. Older lists of the operator no longer end an evacuation.

--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -261,6 +261,19 @@
         return
 
 
+class Document:
+    """Hold a response to a GET request; headers by lower-case name."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(
+        self, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
 class Session:
     """Send GET requests to one address over persistent connections."""
 
@@ -274,8 +287,8 @@
         self.options = options
         self.idle: list[Connection] = []
 
-    def get(self, url: str, limits: "Limits") -> tuple[int, bytes]:
-        """Return the status and the body of a response.
+    def get(self, url: str, limits: "Limits") -> "Document":
+        """Return the status, the headers and the body of a response.
 
         Raises OSError, EOFError, ValueError or an exception of http.client or
         urllib3 if there is none within the limits.
@@ -303,7 +316,7 @@
                 self.idle.append(connection)
             else:
                 connection.close()
-        return response.status, body
+        return Document(response.status, _join_fields(response.fields), body)
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/src/hickorythread/mesh/exchange.py
+++ b/src/hickorythread/mesh/exchange.py
@@ -14,7 +14,11 @@
 def make_request(view: mesh_view.View) -> messages.ViewRequest:
     """Build a request for everything newer than a view."""
     return messages.ViewRequest(
-        view.version, view.revision, view.operator_revision
+        view.version,
+        view.position.revision,
+        view.operator_position.revision,
+        view.position.era,
+        view.operator_position.era,
     )
 
 
@@ -23,7 +27,13 @@
 ) -> messages.ViewNotice:
     """Build a notice that announces the versions of a view."""
     return messages.ViewNotice(
-        view.version, view.revision, view.operator_revision, fresh, relayed
+        view.version,
+        view.position.revision,
+        view.operator_position.revision,
+        fresh,
+        relayed,
+        view.position.era,
+        view.operator_position.era,
     )
 
 
@@ -31,8 +41,8 @@
     """Return whether the sender of a notice has newer data than a view."""
     return (
         notice.version > view.version
-        or notice.revision > view.revision
-        or notice.operator_revision > view.operator_revision
+        or view.position < notice.position
+        or view.operator_position < notice.operator_position
     )
 
 
@@ -46,22 +56,24 @@
         if request.version in view.packed:
             base = request.version
         configuration = view.pack_difference(request.version)
-    if view.revision > request.revision:
+    if request.position < view.position:
         targets = view.pack_targets()
     if not configuration and not targets:
-        if view.operator_revision <= request.operator_revision:
+        if not request.operator_position < view.operator_position:
             return None
     return messages.ViewReply(
         configuration,
         targets,
-        view.revision,
+        view.position.revision,
         sorted(view.evacuated),
-        view.operator_revision,
+        view.operator_position.revision,
         base,
         {
             target_id: max(0.0, due - now)
             for target_id, due in view.pending_removals.items()
         },
+        view.position.era,
+        view.operator_position.era,
     )
 
 
@@ -80,19 +92,20 @@
                 return expression.Error(unpacked.error)
             configuration = models.Configuration.unpack(unpacked.ok)
             changed = view.put_configuration(configuration)
-        if reply.operator_revision > view.operator_revision:
+        if view.operator_position < reply.operator_position:
             changed |= view.put_evacuated(
-                frozenset(reply.evacuated), reply.operator_revision
+                reply.evacuated, reply.operator_position, now
             )
-        if reply.targets and reply.revision > view.revision:
+        if reply.targets and view.position < reply.position:
             unpacked = codec.decompress(reply.targets)
             if unpacked.is_error():
                 return expression.Error(unpacked.error)
             targets = [models.Target(*fields) for fields in unpacked.ok]
             view.adopt_targets(
                 {target.id: target for target in targets},
-                reply.revision,
+                reply.position,
                 _decode_pending_removals(reply.held, now),
+                now,
             )
             changed = True
     except (TypeError, ValueError) as error:
--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -65,17 +65,28 @@
 
     revision is the position from which to watch for further changes.
     superseded counts the changes that were dropped because a later change in
-    the same batch replaces them.
+    the same batch replaces them. era is that of the source, 0 if it states
+    none.
     """
 
-    __slots__ = ("changes", "revision", "superseded")
+    __slots__ = ("changes", "revision", "superseded", "era")
 
     def __init__(
-        self, changes: list[Change], revision: int, superseded: int = 0
+        self,
+        changes: list[Change],
+        revision: int,
+        superseded: int = 0,
+        era: int = 0,
     ) -> None:
         self.changes = changes
         self.revision = revision
         self.superseded = superseded
+        self.era = era
+
+    @property
+    def position(self) -> models.Position:
+        """Return the position of the source after these changes."""
+        return models.Position(self.era, self.revision)
 
 
 class SourceFailure(events.Record):
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from hickorythread import messages
+from hickorythread.mesh import models
 
 COMPLETE = messages.COMPLETE
 NOT_RUN = messages.NOT_RUN
@@ -142,22 +143,58 @@
         self.started_at_ms = started_at_ms
 
 
-class ViewRequest(messages.Message):
+class ViewMessage(messages.Message):
+    """Serve as base of messages that state the positions of a view."""
+
+    revision: int
+    operator_revision: int
+    era: int
+    operator_era: int
+
+    __slots__ = ()
+
+    @property
+    def position(self) -> models.Position:
+        """Return up to where the sender knows the targets."""
+        return models.Position(self.era, self.revision)
+
+    @property
+    def operator_position(self) -> models.Position:
+        """Return up to where the sender knows what the operator wrote."""
+        return models.Position(self.operator_era, self.operator_revision)
+
+
+class ViewRequest(ViewMessage):
     """Ask for the parts of a view that are newer than the sender's."""
 
-    __slots__ = ("version", "revision", "operator_revision")
+    __slots__ = (
+        "version",
+        "revision",
+        "operator_revision",
+        "era",
+        "operator_era",
+    )
     code = 42
-    types = (int, int, int)
+    types = (int, int, int, int, int)
+    # Nodes of earlier releases do not know the eras.
+    defaults = (0, 0)
 
     def __init__(
-        self, version: int, revision: int, operator_revision: int
+        self,
+        version: int,
+        revision: int,
+        operator_revision: int,
+        era: int = 0,
+        operator_era: int = 0,
     ) -> None:
         self.version = version
         self.revision = revision
         self.operator_revision = operator_revision
+        self.era = era
+        self.operator_era = operator_era
 
 
-class ViewReply(messages.Message):
+class ViewReply(ViewMessage):
     """Carry the newer parts of a view in compressed form.
 
     configuration and targets are empty if those of the requester are up to
@@ -174,9 +211,13 @@
         "operator_revision",
         "base",
         "held",
+        "era",
+        "operator_era",
     )
     code = 43
-    types = (bytes, bytes, int, list, int, int, dict)
+    types = (bytes, bytes, int, list, int, int, dict, int, int)
+    # Nodes of earlier releases do not know the eras.
+    defaults = (0, 0)
 
     def __init__(
         self,
@@ -187,6 +228,8 @@
         operator_revision: int,
         base: int,
         held: dict[str, float],
+        era: int = 0,
+        operator_era: int = 0,
     ) -> None:
         self.configuration = configuration
         self.targets = targets
@@ -195,9 +238,11 @@
         self.operator_revision = operator_revision
         self.base = base
         self.held = held
+        self.era = era
+        self.operator_era = operator_era
 
 
-class ViewNotice(messages.Message):
+class ViewNotice(ViewMessage):
     """Tell nearby nodes which view the sender holds.
 
     fresh is True if the source has just responded to the sender, or to a node
@@ -210,11 +255,13 @@
         "operator_revision",
         "fresh",
         "relayed",
+        "era",
+        "operator_era",
     )
     code = 45
-    types = (int, int, int, bool, bool)
-    # Nodes of earlier releases relay no notices.
-    defaults = (False,)
+    types = (int, int, int, bool, bool, int, int)
+    # Nodes of earlier releases relay no notices and do not know the eras.
+    defaults = (False, 0, 0)
 
     def __init__(
         self,
@@ -223,12 +270,16 @@
         operator_revision: int,
         fresh: bool,
         relayed: bool = False,
+        era: int = 0,
+        operator_era: int = 0,
     ) -> None:
         self.version = version
         self.revision = revision
         self.operator_revision = operator_revision
         self.fresh = fresh
         self.relayed = relayed
+        self.era = era
+        self.operator_era = operator_era
 
 
 class Crashed(messages.Message):
--- a/src/hickorythread/mesh/models.py
+++ b/src/hickorythread/mesh/models.py
@@ -24,6 +24,29 @@
         return f"{type(self).__name__}({shown})"
 
 
+class Position(Value):
+    """Tell how far the history of the source is known.
+
+    The source may be restored from an older copy. Its revisions then go back
+    and are given out again, and its era rises by one; 0 is an unknown era.
+    """
+
+    __slots__ = ("era", "revision")
+
+    def __init__(self, era: int, revision: int) -> None:
+        self.era = era
+        self.revision = revision
+
+    def __lt__(self, other: "Position") -> bool:
+        if self.era and other.era and self.era != other.era:
+            return self.era < other.era
+        return self.revision < other.revision
+
+    def is_restored_after(self, other: "Position") -> bool:
+        """Return whether the source was restored since another position."""
+        return other.revision > 0 and 0 < other.era < self.era
+
+
 class Route(Value):
     """Define where requests for one host and path prefix go.
 
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -13,6 +13,7 @@
 from hickorythread.mesh import exchange
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
+from hickorythread.mesh import models
 from hickorythread.mesh import readership
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import view as mesh_view
@@ -124,13 +125,15 @@
             return False
         return self.reader_selection.is_reader(self.peers.by_host, now)
 
-    def known_revision(self, topic: str) -> int | None:
-        """Return the revision held of a topic, None if there is none."""
+    def known_position(self, topic: str) -> models.Position | None:
+        """Return up to where a topic is known, None if it is not."""
         if topic == interfaces.TARGETS:
-            return self.view.revision or None
-        if not self.view.version:
+            position = self.view.position
+        elif self.view.version:
+            position = self.view.operator_position
+        else:
             return None
-        return self.view.operator_revision or None
+        return position if position.revision else None
 
     def watch_timeout(self, topic: str) -> float:
         """Return how many seconds a watch waits for changes."""
@@ -158,7 +161,7 @@
         if batch.changes or complete:
             previously_evacuated = self.view.evacuated
             if topic == interfaces.OPERATOR:
-                self._apply_operator(batch, complete)
+                self._apply_operator(batch, complete, now)
             else:
                 self._apply_targets(batch, complete, now)
             self._view_updated(previously_evacuated)
@@ -187,47 +190,28 @@
         return self.is_new_mesh and now - self.started_at < NEW_MESH_SECONDS
 
     def _apply_operator(
-        self, batch: interfaces.ChangeBatch, complete: bool
+        self, batch: interfaces.ChangeBatch, complete: bool, now: float
     ) -> None:
-        evacuated = set() if complete else set(self.view.evacuated)
-        for change in batch.changes:
-            if isinstance(change, interfaces.PutConfiguration):
-                if self.view.put_configuration(change.configuration):
-                    logs.info(
-                        "version_in_force",
-                        routes=len(change.configuration.routes),
-                        origin="source",
-                    )
-            elif isinstance(change, interfaces.SetEvacuated):
-                if change.evacuated:
-                    evacuated.add(change.failure_domain)
-                else:
-                    evacuated.discard(change.failure_domain)
-        domains = frozenset(evacuated)
-        if self.view.put_evacuated(domains, batch.revision):
+        if self.view.apply_operator(batch, complete, now):
+            domains = ",".join(sorted(self.view.evacuated)) or "-"
             logs.info(
-                "evacuation_changed", domains=",".join(sorted(domains)) or "-"
+                "evacuation_changed",
+                domains=domains,
+                era=batch.era,
+                revision=batch.revision,
             )
 
     def _apply_targets(
         self, batch: interfaces.ChangeBatch, complete: bool, now: float
     ) -> None:
-        if complete:
-            if not self.view.revision:
-                self.is_new_mesh = not batch.changes
-            puts = {
-                change.target.id: change.target
-                for change in batch.changes
-                if isinstance(change, interfaces.PutTarget)
-            }
-            self.view.replace_targets(puts, batch.revision, now)
-        else:
-            self.view.apply_changes(batch.changes, now)
-            self.view.revision = max(self.view.revision, batch.revision)
+        if complete and not self.view.revision:
+            self.is_new_mesh = not batch.changes
+        self.view.apply_targets(batch, complete, now)
         logs.info(
             "targets_changed",
             changes=len(batch.changes),
             targets=len(self.view.targets),
+            era=batch.era,
             revision=self.view.revision,
         )
 
@@ -256,6 +240,9 @@
         if expired:
             logs.info("targets_lapsed", count=len(expired))
             self._view_updated(self.view.evacuated)
+        previously_evacuated = self.view.evacuated
+        if self.view.expire_restored(now):
+            self._view_updated(previously_evacuated)
         self._report_decisions()
 
     def request_if_behind(self, now: float) -> None:
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -6,9 +6,11 @@
 
 from hickorythread import codec
 from hickorythread.mesh import ends
+from hickorythread.mesh import evacuations
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import models
+from hickorythread.mesh import revived
 
 # Targets whose entries expired while the source was unreachable register again
 # within about two seconds of its recovery.
@@ -48,11 +50,12 @@
         # Compressed forms of the newest version by the version that they
         # start from, 0 for the whole of it.
         self.differences: dict[int, bytes] = {}
-        self.evacuated: frozenset[str] = frozenset()
-        self.departed: dict[str, None] = {}
+        self.evacuations = evacuations.Evacuations()
+        self.departed: dict[str, int] = {}
         self.ends = ends.EndedTargets()
-        self.revision = 0
-        self.operator_revision = 0
+        self.revived = revived.RevivedTargets()
+        self.position = models.Position(0, 0)
+        self.operator_position = models.Position(0, 0)
         self.grace_until = 0.0
         self.pending_removals: dict[str, float] = {}
         # Decisions that have not been logged yet.
@@ -63,6 +66,16 @@
         logs, self.logs = self.logs, []
         return logs
 
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which targets are known, 0 if none."""
+        return self.position.revision
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the failure domains that get no new work."""
+        return self.evacuations.domains
+
     @property
     def ready(self) -> bool:
         """Return whether requests can be placed."""
@@ -91,12 +104,66 @@
             del self.packed[next(iter(self.packed))]
         return True
 
-    def put_evacuated(self, domains: frozenset[str], revision: int) -> bool:
-        """Replace the evacuated domains; return whether they changed."""
-        self.operator_revision = max(self.operator_revision, revision)
-        changed = domains != self.evacuated
-        self.evacuated = domains
-        return changed
+    def put_evacuated(
+        self, domains: Iterable[str], position: models.Position, now: float
+    ) -> bool:
+        """Replace the evacuated domains; return whether they changed.
+
+        A list that is older than what is known changes nothing.
+        """
+        known = self.operator_position
+        if position < known:
+            return False
+        restored = position.is_restored_after(known)
+        self.operator_position = _advance(known, position)
+        before = self.evacuated
+        for domain in self.evacuations.replace(domains, restored, now):
+            self._log_position("evacuation_held", known, domain=domain)
+        return self.evacuated != before
+
+    def apply_operator(
+        self, batch: interfaces.ChangeBatch, complete: bool, now: float
+    ) -> bool:
+        """Apply what the operator wrote; return if evacuations changed."""
+        for change in batch.changes:
+            if isinstance(change, interfaces.PutConfiguration):
+                self._apply_configuration(change.configuration, batch)
+        changes = [
+            change
+            for change in batch.changes
+            if isinstance(change, interfaces.SetEvacuated)
+        ]
+        if complete:
+            listed = [c.failure_domain for c in changes if c.evacuated]
+            return self.put_evacuated(listed, batch.position, now)
+        before = self.evacuated
+        for change in changes:
+            self.evacuations.set(change.failure_domain, change.evacuated)
+        self.operator_position = _advance(
+            self.operator_position, batch.position
+        )
+        return self.evacuated != before
+
+    def _apply_configuration(
+        self,
+        configuration: models.Configuration,
+        batch: interfaces.ChangeBatch,
+    ) -> None:
+        if configuration.version < self.version:
+            self._log_position(
+                "version_kept",
+                self.operator_position,
+                offered=configuration.version,
+                offered_era=batch.era,
+                offered_revision=batch.revision,
+            )
+        elif self.put_configuration(configuration):
+            self._log_position(
+                "version_in_force",
+                batch.position,
+                routes=len(configuration.routes),
+                origin="source",
+            )
 
     def put_target(self, target: models.Target) -> None:
         """Add or replace a target.
@@ -109,6 +176,7 @@
         if known is not None and target.started_at_ms < known.started_at_ms:
             self._log("target_older", target, known=known.started_at_ms)
             return
+        self.revived.discard(target.id)
         self.pending_removals.pop(target.id, None)
         self.departed.pop(target.id, None)
         if not target.draining and self.ends.includes(target):
@@ -154,15 +222,30 @@
             target.id, target.host_id, target.started_at_ms
         )
 
-    def apply_changes(
+    def apply_targets(
+        self, batch: interfaces.ChangeBatch, complete: bool, now: float
+    ) -> None:
+        """Apply what a read of the targets has returned."""
+        if complete:
+            targets = {
+                change.target.id: change.target
+                for change in batch.changes
+                if isinstance(change, interfaces.PutTarget)
+            }
+            self.replace_targets(targets, batch.position, now)
+            return
+        self.position = _advance(self.position, batch.position)
+        self._apply_changes(batch.changes, now)
+
+    def _apply_changes(
         self, changes: Iterable[interfaces.Change], now: float
     ) -> None:
-        """Apply the changes of targets that a watch has returned."""
         removed = []
         for change in changes:
             if isinstance(change, interfaces.PutTarget):
                 self.put_target(change.target)
             elif isinstance(change, interfaces.RemoveTarget):
+                self.revived.discard(change.target_id)
                 if change.announced:
                     self._remove(change.target_id, ANNOUNCED)
                 else:
@@ -222,29 +305,61 @@
             self._log("target_held", target, reason=reason, seconds=held)
 
     def replace_targets(
-        self, targets: dict[str, models.Target], revision: int, now: float
+        self,
+        targets: dict[str, models.Target],
+        position: models.Position,
+        now: float,
     ) -> None:
         """Replace the targets by a complete list from the source.
 
         A list that is older than what is known, such as one that arrives
-        twice, changes nothing.
+        twice, changes nothing. One of a later era may be an older copy: what
+        it lacks may be written again, and what it holds may have been removed
+        since.
         """
-        if revision < self.revision:
+        known = self.position
+        if position < known:
+            self._log_position("list_older", known, offered=position.revision)
             return
-        self.revision = max(self.revision, revision)
+        restored = position.is_restored_after(known)
+        if restored:
+            self.start_grace_period(now)
+            self._log_position("source_restored", position, known=known)
+        self.position = _advance(known, position)
+        for target_id in self.revived.targets.keys() - targets.keys():
+            self.revived.discard(target_id)
         missing = sorted(self.targets.keys() - targets.keys())
         self.remove_targets(missing, now, from_snapshot=True)
         for target in targets.values():
+            self._put_listed(target, restored, now)
+
+    def _put_listed(
+        self, target: models.Target, restored: bool, now: float
+    ) -> None:
+        """Add a listed target unless a restored source has revived it."""
+        departed_at = self.departed.get(target.id)
+        if (
+            restored
+            and departed_at is not None
+            and target.started_at_ms <= departed_at
+        ):
+            self.revived.add(target, now)
+            self._log("target_revived", target)
+        elif not self.revived.includes(target):
             self.put_target(target)
 
     def adopt_targets(
         self,
         targets: dict[str, models.Target],
-        revision: int,
+        position: models.Position,
         pending_removals: dict[str, float],
+        now: float,
     ) -> None:
         """Replace the targets and pending removals by those of a peer."""
-        self.revision = max(self.revision, revision)
+        if position.is_restored_after(self.position):
+            self.replace_targets(targets, position, now)
+            return
+        self.position = _advance(self.position, position)
         for target_id in self.targets.keys() - targets.keys():
             self._remove(target_id, PEER)
         for target in targets.values():
@@ -266,6 +381,18 @@
             self._remove(target_id, HOLD_ENDED)
         return expired
 
+    def expire_restored(self, now: float) -> bool:
+        """Stop holding what a restored source lacks; return if any was."""
+        domains = self.evacuations.expire(now)
+        for domain in domains:
+            self._log_position(
+                "evacuation_dropped", self.operator_position, domain=domain
+            )
+        targets = self.revived.take_due(now)
+        for target in targets:
+            self.put_target(target)
+        return bool(domains or targets)
+
     def pack_targets(self) -> bytes:
         """Return the compressed targets for a message."""
         if self.packed_targets is None:
@@ -292,7 +419,7 @@
         target = self.targets.pop(target_id, None)
         if target is None:
             return
-        self.departed[target_id] = None
+        self.departed[target_id] = target.started_at_ms
         self.ends.forget_undated(target_id)
         while len(self.departed) > MAX_DEPARTED_TARGETS:
             del self.departed[next(iter(self.departed))]
@@ -306,16 +433,34 @@
             target=target.id,
             started_at=target.started_at_ms,
             draining=target.draining,
+            era=self.position.era,
             revision=self.revision,
             **values,
         )
         self.logs.append(log)
 
+    def _log_position(
+        self, event: str, position: models.Position, **values: Any
+    ) -> None:
+        """Note a decision with the position that it was based on."""
+        log = events.Log(
+            event, era=position.era, revision=position.revision, **values
+        )
+        self.logs.append(log)
+
     def _targets_changed(self) -> None:
         self.index = None
         self.packed_targets = None
 
 
+def _advance(
+    known: models.Position, position: models.Position
+) -> models.Position:
+    """Return the later position, with the known era if it states none."""
+    later = known if position < known else position
+    return models.Position(later.era or known.era, later.revision)
+
+
 def _group_by_service(
     targets: Iterable[models.Target],
 ) -> dict[str, list[models.Target]]:
--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -8,6 +8,7 @@
 from hickorythread import interfaces as base_interfaces
 from hickorythread import readers
 from hickorythread.mesh import interfaces
+from hickorythread.mesh import models
 
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 1.0
@@ -31,8 +32,8 @@
     def reads_topic(self, topic: str) -> bool:
         """Return whether this node reads a topic from the source."""
 
-    def known_revision(self, topic: str) -> int | None:
-        """Return the revision held of a topic, None if there is none."""
+    def known_position(self, topic: str) -> models.Position | None:
+        """Return up to where a topic is known, None if it is not."""
 
     def watch_timeout(self, topic: str) -> float:
         """Return how many seconds a watch waits for changes."""
@@ -70,7 +71,7 @@
         self.backoff = readers.Backoff(
             random_source, MIN_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS
         )
-        self.revision: int | None = None
+        self.position: models.Position | None = None
         self.failing = False
         self.paused = True
         # The version read last while versions are being coalesced.
@@ -88,29 +89,38 @@
             return INACTIVE_POLL_SECONDS
         if self.paused:
             self.paused = False
-            self.revision = self.handler.known_revision(self.topic)
-        complete = self.revision is None
+            self.position = self.handler.known_position(self.topic)
+        complete = self.position is None
         result = self._read()
         self.on_read(self.topic, result)
         if result.is_error():
             return self._handle_failure(result.error)
         batch = result.ok
+        if not complete and self._is_of_another_era(batch):
+            # What the revision stood for may be gone; read everything.
+            self.position = None
+            return 0.0
         if complete or batch.changes:
             # A response without changes may carry a revision whose changes
             # the source has not processed yet. Keeping the older revision
             # ensures that a later watch returns them.
-            self.revision = batch.revision
+            self.position = batch.position
         self.backoff.reset()
         self._report_status("")
         self.handler.apply_batch(self.topic, batch, complete)
         return self._next_delay(batch, complete)
 
     def _read(self) -> interfaces.ReadResult:
-        if self.revision is None:
+        if self.position is None:
             return self.source.read(self.topic)
         # After a failure, a watch without a wait detects recovery at once.
         wait = 0.0 if self.failing else self.handler.watch_timeout(self.topic)
-        return self.source.watch(self.topic, self.revision, wait)
+        return self.source.watch(self.topic, self.position.revision, wait)
+
+    def _is_of_another_era(self, batch: interfaces.ChangeBatch) -> bool:
+        """Return whether the source was restored since the last response."""
+        known = self.position.era if self.position else 0
+        return bool(known and batch.era and known != batch.era)
 
     def _next_delay(
         self, batch: interfaces.ChangeBatch, complete: bool
@@ -124,13 +134,13 @@
         elif not batch.superseded or version is None:
             return self.handler.batch_delay() if batch.changes else 0.0
         self.coalesced_version = version
-        self.revision = None
+        self.position = None
         return COALESCE_SECONDS
 
     def _handle_failure(self, failure: interfaces.SourceFailure) -> float:
         if failure.kind == interfaces.HISTORY_UNAVAILABLE:
             # The missed changes are gone from the history; read everything.
-            self.revision = None
+            self.position = None
             return 0.0
         self._report_status(f"{failure.kind}: {failure.detail}")
         return self.backoff.next()
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from hickorythread import http_client
+from hickorythread import http_requests
 from hickorythread import keepalive
 from hickorythread import logs
 from hickorythread import utils
@@ -26,6 +27,8 @@
 # How long the bytes of a response may take to arrive after its first one.
 TRANSFER_SECONDS = 4.0
 MAX_RESPONSE_BYTES = 64 << 20
+# Header that counts how often the store was restored from an older copy.
+ERA = "store-era"
 MAX_PAGES = 1000
 _FAILURE_KINDS = {410: interfaces.HISTORY_UNAVAILABLE, 429: "rate"}
 
@@ -64,12 +67,16 @@
         """
         changes: list[interfaces.Change] = []
         revision = -1
+        first_era = 0
         query = {"prefix": PREFIXES[topic]}
         try:
             for _ in range(MAX_PAGES):
-                page = self._get(topic, "kv-range", query)
+                page, era = self._get(topic, "kv-range", query)
                 if revision < 0:
                     revision = page["store_revision"]
+                    first_era = era
+                elif era != first_era:
+                    raise _StoreError("restored", f"era {first_era} to {era}")
                 items = page["items"]
                 changes += self._decode_items(items)
                 if not page.get("has_more") or not items:
@@ -79,7 +86,9 @@
             return _to_result(error)
         except (KeyError, TypeError) as error:
             return _to_result(_StoreError("malformed", repr(error)))
-        return expression.Ok(interfaces.ChangeBatch(changes, revision))
+        return expression.Ok(
+            interfaces.ChangeBatch(changes, revision, era=first_era)
+        )
 
     def watch(
         self, topic: str, after: int, wait: float
@@ -91,7 +100,7 @@
             "wait_ms": str(int(wait * 1000)),
         }
         try:
-            result = self._get(topic, "kv-watch", query, wait)
+            result, era = self._get(topic, "kv-watch", query, wait)
             # Older events belong to a response that has arrived twice.
             events = [item for item in result["events"] if item["rev"] > after]
             items = _latest_events(events)
@@ -104,7 +113,9 @@
             return _to_result(_StoreError("malformed", repr(error)))
         superseded = len(events) - len(items)
         return expression.Ok(
-            interfaces.ChangeBatch(changes, max(after, revision), superseded)
+            interfaces.ChangeBatch(
+                changes, max(after, revision), superseded, era
+            )
         )
 
     def _get(
@@ -113,8 +124,11 @@
         endpoint: str,
         query: dict[str, str],
         wait: float = 0.0,
-    ) -> Any:
-        """Return the document of a response that may take wait seconds."""
+    ) -> tuple[Any, int]:
+        """Return the document and the era of a response.
+
+        The response may take wait seconds.
+        """
         url = f"/-/{endpoint}?{parse.urlencode(query)}"
         margin = WATCH_MARGIN_SECONDS if wait else READ_TIMEOUT_SECONDS
         limits = http_client.Limits(
@@ -124,7 +138,7 @@
             MAX_RESPONSE_BYTES,
         )
         try:
-            status, data = self.sessions[topic].get(url, limits)
+            response = self.sessions[topic].get(url, limits)
         except (
             urllib3.exceptions.HTTPError,
             http.client.HTTPException,
@@ -135,11 +149,11 @@
             raise _StoreError(
                 "unreachable", f"{type(error).__name__}: {error}"[:200]
             ) from error
-        if status != 200:
-            kind = _FAILURE_KINDS.get(status, "refused")
-            raise _StoreError(kind, f"status {status}")
+        if response.status != 200:
+            kind = _FAILURE_KINDS.get(response.status, "refused")
+            raise _StoreError(kind, f"status {response.status}")
         try:
-            return json.loads(data)
+            return json.loads(response.body), _parse_era(response.headers)
         except (ValueError, RecursionError) as error:
             raise _StoreError("malformed", str(error)[:200]) from error
 
@@ -205,6 +219,20 @@
         return documents.decode_target(target_id, value, self.regions)
 
 
+def _parse_era(headers: dict[str, str]) -> int:
+    """Return the era of the store, 0 if it states none.
+
+    Raises ValueError if the header is malformed.
+    """
+    text = headers.get(ERA)
+    if text is None:
+        return 0
+    era = http_requests.parse_count(text)
+    if era is None:
+        raise ValueError(f"era {text!r:.40} is not a number")
+    return era
+
+
 def _latest_events(events: list[Any]) -> list[Any]:
     """Return the last event of each key in the original order."""
     newest = {item["key"]: item for item in events}
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -98,12 +98,69 @@
     } | values
 
 
+def make_configuration_document(version=7):
+    return {
+        "version": version,
+        "services": [
+            {
+                "name": "spec-desk",
+                "health_path": "/healthz",
+                "max_conns": 120,
+                "warmup_s": 3.0,
+                "warmup_per_s": 16.0,
+            }
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1048576,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "hosts": [
+            {
+                "host": "a.example",
+                "paths": [
+                    {
+                        "name": "one",
+                        "prefix": "/one/",
+                        "type": "non_idempotent",
+                        "timeout_ms": 1200,
+                        "slo_ms": 600,
+                        "priority": 1,
+                        "service": "spec-desk",
+                        "attempts": 2,
+                        "allowed_regions": ["north"],
+                    },
+                    {
+                        "name": "two",
+                        "prefix": "/two/",
+                        "type": "idempotent",
+                        "timeout_ms": 1000,
+                        "slo_ms": 500,
+                        "priority": 2,
+                        "split": [
+                            {"service": "spec-desk", "weight": 90},
+                            {"service": "other", "weight": 10},
+                        ],
+                        "attempts": 3,
+                        "allowed_regions": [],
+                    },
+                ],
+            }
+        ],
+    }
+
+
+def make_position(revision, era=0):
+    return models.Position(era, revision)
+
+
 def make_view(targets=3, configuration=None):
     new_view = view.View()
     new_view.put_configuration(configuration or make_configuration())
     target_list = [make_target(number) for number in range(1, targets + 1)]
     new_view.replace_targets(
-        {target.id: target for target in target_list}, 5, 0.0
+        {target.id: target for target in target_list}, make_position(5), 0.0
     )
     return new_view
 
--- a/tests/mesh_load.py
+++ b/tests/mesh_load.py
@@ -204,7 +204,7 @@
         """Give a node its view and the streams to all hosts."""
         targets = {other.target.id: other.target for other in self.targets()}
         host.view.put_configuration(self.configuration)
-        host.view.replace_targets(targets, 1, self.now)
+        host.view.replace_targets(targets, build.make_position(1), self.now)
         host.entry.view_changed()
         for host_id in self.hosts:
             host.entry.peer_connected(host_id)
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -11,7 +11,10 @@
 
 
 class Store:
-    """Serves items and their history; error_status makes all calls fail."""
+    """Serves items and their history; error_status makes all calls fail.
+
+    era_text is the value of the header that states the era, if any.
+    """
 
     def __init__(self):
         self.condition = threading.Condition()
@@ -20,6 +23,7 @@
         self.revision = 1
         self.compacted = 0
         self.error_status = 0
+        self.era_text = None
         self.calls = []
         self.server = http.server.ThreadingHTTPServer(
             ("127.0.0.1", 0), _Handler
@@ -68,6 +72,20 @@
             self.history.clear()
             self.condition.notify_all()
 
+    def copy(self):
+        """Return a copy of the items with the revision."""
+        with self.condition:
+            return dict(self.items), self.revision
+
+    def restore(self, copy, era):
+        """Go back to an older copy; later watches return 410."""
+        with self.condition:
+            self.items, self.revision = dict(copy[0]), copy[1]
+            self.history.clear()
+            self.compacted = self.revision
+            self.era_text = str(era)
+            self.condition.notify_all()
+
     def list(self, prefix, after):
         with self.condition:
             keys = sorted(
@@ -85,7 +103,7 @@
         deadline = time.monotonic() + wait
         with self.condition:
             while True:
-                if after < self.compacted:
+                if not self.compacted <= after <= self.revision:
                     return None
                 events = [
                     item
@@ -107,6 +125,7 @@
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
 
     def do_GET(self):
         store = self.server.store
@@ -130,6 +149,8 @@
         data = json.dumps(document).encode()
         self.send_response(status)
         self.send_header("Content-Length", str(len(data)))
+        if self.server.store.era_text is not None:
+            self.send_header("Store-Era", self.server.store.era_text)
         self.end_headers()
         self.wfile.write(data)
 
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -208,7 +208,9 @@
 def test_entry_that_lapsed_during_an_outage_may_come_back():
     mesh_view = build.make_view()
     mesh_view.start_grace_period(10.0)
-    mesh_view.replace_targets({"t1": build.make_target(1)}, 6, 10.1)
+    mesh_view.replace_targets(
+        {"t1": build.make_target(1)}, build.make_position(6), 10.1
+    )
     assert len(mesh_view.targets) == 3
     mesh_view.put_target(build.make_target(2))
     assert mesh_view.expire(12.0) == []
@@ -250,7 +252,7 @@
 def test_log_says_why_no_target_may_be_asked():
     made_view = build.make_view(targets=5)
     made_view.put_target(build.make_target(1, draining=True))
-    made_view.put_evacuated(frozenset(("hobart",)), 6)
+    made_view.put_evacuated(["hobart"], build.make_position(6), 0.0)
     plane = build.make_entry(made_view, connected=3)
     plane.placement.suspend("10.0.0.2", 1.0, 0.0)
     actions = plane.request(build.make_request(), 0.0)
@@ -269,7 +271,7 @@
 
     def __init__(self):
         self.is_active = True
-        self.initial_revision = None
+        self.initial_position = None
         self.reports = []
         self.applied = []
         self.stop_count = 0
@@ -277,8 +279,8 @@
     def reads_topic(self, topic):
         return self.is_active
 
-    def known_revision(self, topic):
-        return self.initial_revision
+    def known_position(self, topic):
+        return self.initial_position
 
     def watch_timeout(self, topic):
         return 25.0
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -406,7 +406,7 @@
     elif change == "removed":
         view.remove_targets(["t1"], 1.0)
     else:
-        view.put_evacuated(frozenset(("launceston",)), 7)
+        view.put_evacuated(["launceston"], build.make_position(7), 0.0)
     plane.view_changed(False, 1.0)
     reply = only_reply(plane.call("10.0.0.2", build.make_call(), 1.0))
     assert reply.outcome == messages.NOT_RUN
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -22,7 +22,8 @@
     ]
 )
 LOG_CALLS = re.compile(
-    r"(events\.Log|logs\.(info|warning|error)|self\._log|self\.log)$"
+    r"(events\.Log|logs\.(info|warning|error)|self\._log|self\.log|"
+    r"self\._log_position)$"
 )
 PREFIX = "hickorythread_"
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,62 +25,9 @@
 )
 
 
-def make_configuration_document(version=7):
-    return {
-        "version": version,
-        "services": [
-            {
-                "name": "spec-desk",
-                "health_path": "/healthz",
-                "max_conns": 120,
-                "warmup_s": 3.0,
-                "warmup_per_s": 16.0,
-            }
-        ],
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1048576,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        },
-        "hosts": [
-            {
-                "host": "a.example",
-                "paths": [
-                    {
-                        "name": "one",
-                        "prefix": "/one/",
-                        "type": "non_idempotent",
-                        "timeout_ms": 1200,
-                        "slo_ms": 600,
-                        "priority": 1,
-                        "service": "spec-desk",
-                        "attempts": 2,
-                        "allowed_regions": ["north"],
-                    },
-                    {
-                        "name": "two",
-                        "prefix": "/two/",
-                        "type": "idempotent",
-                        "timeout_ms": 1000,
-                        "slo_ms": 500,
-                        "priority": 2,
-                        "split": [
-                            {"service": "spec-desk", "weight": 90},
-                            {"service": "other", "weight": 10},
-                        ],
-                        "attempts": 3,
-                        "allowed_regions": [],
-                    },
-                ],
-            }
-        ],
-    }
-
-
 def test_configuration_is_decoded_into_named_fields():
     configuration = documents.decode_configuration(
-        make_configuration_document()
+        build.make_configuration_document()
     )
     one, two = configuration.routes
     assert (one.idempotent, one.timeout, one.objective) == (False, 1.2, 0.6)
@@ -192,7 +139,7 @@
 def test_lost_history_and_outages_are_told_apart(standin):
     client = make_client(standin)
     revision = client.read(interfaces.OPERATOR).ok.revision
-    standin.put("op/config", make_configuration_document())
+    standin.put("op/config", build.make_configuration_document())
     standin.compact()
     failure = client.watch(interfaces.OPERATOR, revision, 1.0).error
     assert failure.kind == interfaces.HISTORY_UNAVAILABLE
@@ -206,7 +153,7 @@
 
 
 def test_operator_topic_holds_configuration_and_evacuations(standin):
-    standin.put("op/config", make_configuration_document(9))
+    standin.put("op/config", build.make_configuration_document(9))
     standin.put("op/evacuate/hobart", {})
     client = make_client(standin)
     batch = client.read(interfaces.OPERATOR).ok
@@ -430,7 +377,7 @@
     """Guards against a stale list that arrives after a newer one."""
     view = build.make_view(targets=3)
     two = {f"t{number}": build.make_target(number) for number in (1, 2)}
-    view.replace_targets(two, 9, 0.0)
+    view.replace_targets(two, build.make_position(9), 0.0)
     three = two | {"t3": build.make_target(3)}
-    view.replace_targets(three, 8, 0.0)
+    view.replace_targets(three, build.make_position(8), 0.0)
     assert sorted(view.targets) == ["t1", "t2"]
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -17,7 +17,6 @@
 
 from tests import mesh_builders as build
 from tests import store_standin
-from tests import test_platform
 from tests import test_server
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -85,7 +84,7 @@
     No route is split, because the first request to a split route may go to
     any of its services.
     """
-    document = test_platform.make_configuration_document(version)
+    document = build.make_configuration_document(version)
     for route in document["hosts"][0]["paths"]:
         route["timeout_ms"] = 20_000
         route["slo_ms"] = 10_000
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -401,7 +401,11 @@
     monkeypatch.setattr(mesh_view, "_group_by_service", count)
     view = mesh_view.View()
     targets = [build.make_target(number) for number in range(1, 501)]
-    view.replace_targets({target.id: target for target in targets}, 5, 0.0)
+    view.replace_targets(
+        {target.id: target for target in targets},
+        build.make_position(5),
+        0.0,
+    )
     view.remove_targets([target.id for target in targets[:100]], 1.0)
     assert len(view.by_service["spec-desk"]) == 400
     # Once to judge the removals and once for the result.
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -117,13 +117,13 @@
         standin.put("servers/t2", build.make_entry_document())
         batch = client.read(interfaces.TARGETS).ok
         made_view = mesh_view.View()
-        made_view.apply_changes(batch.changes, 0.0)
+        made_view.apply_targets(batch, True, 0.0)
         standin.put("servers/t1", build.make_entry_document(phase="draining"))
         standin.delete("servers/t1")
         standin.delete("servers/t2")
         made_view.start_grace_period(10.0)
         batch = client.watch(interfaces.TARGETS, batch.revision, 0.0).ok
-        made_view.apply_changes(batch.changes, 10.0)
+        made_view.apply_targets(batch, False, 10.0)
     finally:
         standin.close()
     assert list(made_view.targets) == ["t2"]
@@ -146,7 +146,7 @@
     made_view.put_target(build.make_target(1, started_at_ms=6))
     old = build.make_target(1, started_at_ms=5, draining=draining)
     made_view.put_target(old)
-    made_view.adopt_targets({"t1": old}, 9, {})
+    made_view.adopt_targets({"t1": old}, build.make_position(9), {}, 0.0)
     target = made_view.targets["t1"]
     assert target.started_at_ms == 6 and not target.draining
 
