--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -30,6 +30,8 @@
 # Header that counts how often the store was restored from an older copy.
 ERA = "store-era"
 MAX_PAGES = 1000
+# Peers pack integers in 64 bits.
+MAX_REVISION = (1 << 63) - 1
 _FAILURE_KINDS = {410: interfaces.HISTORY_UNAVAILABLE, 429: "rate"}
 
 
@@ -73,11 +75,11 @@
             for _ in range(MAX_PAGES):
                 page, era = self._get(topic, "kv-range", query)
                 if revision < 0:
-                    revision = page["store_revision"]
+                    revision = _read_revision(page)
                     first_era = era
                 elif era != first_era:
                     raise _StoreError("restored", f"era {first_era} to {era}")
-                items = page["items"]
+                items = _read_items(page, "items")
                 changes += self._decode_items(items)
                 if not page.get("has_more") or not items:
                     break
@@ -102,11 +104,15 @@
         try:
             result, era = self._get(topic, "kv-watch", query, wait)
             # Older events belong to a response that has arrived twice.
-            events = [item for item in result["events"] if item["rev"] > after]
+            events = [
+                item
+                for item in _read_items(result, "events")
+                if item["rev"] > after
+            ]
             items = _latest_events(events)
             changes = self._decode_items(items)
             self._mark_announced(changes, events)
-            revision = result["store_revision"]
+            revision = _read_revision(result)
         except _StoreError as error:
             return _to_result(error)
         except (KeyError, TypeError) as error:
@@ -233,6 +239,32 @@
     return era
 
 
+def _read_items(document: Any, name: str) -> list[dict[str, Any]]:
+    """Return the items of a response, without those that have no key.
+
+    Raises KeyError or TypeError if there is no list of them.
+    """
+    items = document[name]
+    if not isinstance(items, list):
+        raise TypeError(f"{name} is not a list")
+    readable = [
+        item
+        for item in items
+        if isinstance(item, dict) and isinstance(item.get("key"), str)
+    ]
+    if len(readable) < len(items):
+        logs.warning("items_ignored", count=len(items) - len(readable))
+    return readable
+
+
+def _read_revision(document: Any) -> int:
+    """Return the revision of a response; raise TypeError if malformed."""
+    revision = document["store_revision"]
+    if type(revision) is not int or not 0 <= revision <= MAX_REVISION:
+        raise TypeError("store_revision is not an integer in range")
+    return revision
+
+
 def _latest_events(events: list[Any]) -> list[Any]:
     """Return the last event of each key in the original order."""
     newest = {item["key"]: item for item in events}
