Let an entry of an unknown service hide no target at its address

An odd entry that names a configured target's address, a later start and a service that nobody knows took the target out of service for all callers.

Entries of services that are not in the configuration are left out of the index; a new configuration builds it again. Both tests failed before.

--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -88,9 +88,20 @@
 
     @property
     def by_service(self) -> dict[str, list[models.Target]]:
-        """Return the targets of each service, one for each address."""
+        """Return the targets of each service, one for each address.
+
+        An entry of a service that is not configured names no target to use.
+        """
         if self.index is None:
-            self.index = _group_by_service(self.targets.values())
+            configuration = self.configuration
+            self.index = _group_by_service(
+                [
+                    target
+                    for target in self.targets.values()
+                    if configuration is None
+                    or target.service in configuration.services
+                ]
+            )
         return self.index
 
     def put_configuration(self, configuration: models.Configuration) -> bool:
@@ -98,6 +109,7 @@
         if configuration.version <= self.version:
             return False
         self.configuration = configuration
+        self.index = None
         self.differences.clear()
         self.packed[configuration.version] = codec.pack(configuration.pack())
         if len(self.packed) > MAX_PACKED_VERSIONS:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -237,3 +237,26 @@
                 assert view.pack_targets()
     finally:
         standin.close()
+
+
+def test_entry_of_an_unknown_service_hides_no_target():
+    """Guards against a target whose address another writer has used."""
+    view = build.make_view(targets=2)
+    view.put_target(
+        build.make_target(
+            1, id="odd", service="not-configured", started_at_ms=99
+        )
+    )
+    targets = view.by_service["spec-desk"]
+    assert sorted(target.id for target in targets) == ["t1", "t2"]
+
+
+def test_service_that_is_configured_later_has_its_targets():
+    view = build.make_view(targets=2)
+    late = build.make_target(3, service="late")
+    view.put_target(late)
+    assert view.by_service.get("late") is None
+    services = build.make_configuration().services
+    services |= {"late": services["spec-desk"]}
+    view.put_configuration(build.make_configuration(2, services=services))
+    assert view.by_service["late"] == [late]
