Ignore a reported end without a start time if the start is known

A peer that heard of an end without a registration does not know the start of the process. The node beside the target took it for the process registered now, which may be a successor with the same id that then got nothing, ever. Such a report is ignored; the node hears the end from the target's own probe. The new case of the test (start 0) failed before.

--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -488,7 +488,12 @@
     def end_reported(
         self, message: messages.TargetEnd, now: float
     ) -> list[events.Record]:
-        """Take over from a peer that the target has announced its end."""
+        """Take over from a peer that the target has announced its end.
+
+        A report without a start time may concern a process before this one.
+        """
+        if not message.started_at_ms and self._started_at_ms():
+            return []
         self.view.note_end(
             message.target_id,
             self.settings.host_id,
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -250,9 +250,11 @@
     assert not build.of_type(actions, events.Run)
 
 
-def test_end_that_a_peer_reports_does_not_stop_a_later_process():
+@pytest.mark.parametrize("started_at_ms", [0, 5])
+def test_end_that_a_peer_reports_does_not_stop_a_later_process(started_at_ms):
     plane = build.make_execution(make_ended_view(started_at_ms=6), number=2)
-    plane.end_reported(messages.TargetEnd("t2", 5), 0.1)
+    plane.view_changed(False, 0.0)
+    plane.end_reported(messages.TargetEnd("t2", started_at_ms), 0.1)
     assert plane.state().usable
 
 
