Keep an old process out also after its successor was removed

An entry of an earlier process brought it back once the entry of the later one had been removed, and an end that was only known from a superseded event was not remembered: callers would reach a process that has ended or leaves. Departed targets keep their start times, and a removal that was announced is recorded as an end. Both tests failed before.

--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -185,8 +185,11 @@
         does not return.
         """
         known = self.targets.get(target.id)
-        if known is not None and target.started_at_ms < known.started_at_ms:
-            self._log("target_older", target, known=known.started_at_ms)
+        last_start = self.departed.get(target.id, 0)
+        if known is not None:
+            last_start = known.started_at_ms
+        if target.started_at_ms < last_start:
+            self._log("target_older", target, known=last_start)
             return
         self.revived.discard(target.id)
         self.pending_removals.pop(target.id, None)
@@ -259,11 +262,18 @@
             elif isinstance(change, interfaces.RemoveTarget):
                 self.revived.discard(change.target_id)
                 if change.announced:
-                    self._remove(change.target_id, ANNOUNCED)
+                    self._remove_announced(change.target_id)
                 else:
                     removed.append(change.target_id)
         self.remove_targets(removed, now)
 
+    def _remove_announced(self, target_id: str) -> None:
+        """Remove a target that has said that it leaves."""
+        target = self.targets.get(target_id)
+        if target is not None:
+            self._record_end(target)
+            self._remove(target_id, ANNOUNCED)
+
     def remove_targets(
         self,
         target_ids: Iterable[str],
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -9,6 +9,7 @@
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
 from hickorythread.mesh import view as mesh_view
+from hickorythread.platform import documents
 from hickorythread.platform import store
 from tests import mesh_builders as build
 from tests import store_standin
@@ -127,6 +128,12 @@
     finally:
         standin.close()
     assert list(made_view.targets) == ["t2"]
+    # An older copy of the entry does not bring it back either.
+    target = documents.decode_target(
+        "t1", build.make_entry_document(), build.REGIONS
+    )
+    made_view.put_target(target)
+    assert made_view.targets["t1"].draining
 
 
 def test_process_that_has_announced_its_end_does_not_take_it_back():
@@ -151,6 +158,17 @@
     assert target.started_at_ms == 6 and not target.draining
 
 
+def test_older_process_does_not_return_after_the_removal():
+    """Guards against an old process that is served again."""
+    made_view = build.make_view()
+    made_view.put_target(build.make_target(1, started_at_ms=6))
+    made_view.remove_targets(["t1"], 1.0)
+    made_view.put_target(build.make_target(1, started_at_ms=5))
+    assert "t1" not in made_view.targets
+    made_view.put_target(build.make_target(1, started_at_ms=6))
+    assert "t1" in made_view.targets
+
+
 def test_end_is_remembered_after_the_removal():
     """Guards against a target that an older list brings back."""
     made_view = build.make_view()
