--- a/src/hickorythread/mesh/exchange.py
+++ b/src/hickorythread/mesh/exchange.py
@@ -53,9 +53,9 @@
     configuration = targets = b""
     base = 0
     if view.version > request.version:
-        if request.version in view.packed:
+        if request.version in view.versions.packed:
             base = request.version
-        configuration = view.pack_difference(request.version)
+        configuration = view.versions.pack_difference(request.version)
     if request.position < view.position:
         targets = view.pack_targets()
     if not configuration and not targets:
@@ -86,7 +86,7 @@
         # A delta whose base version has been replaced in the meantime cannot
         # be applied. The next notice triggers a new request.
         if reply.configuration and reply.base in (0, view.version):
-            base = view.packed.get(reply.base, b"")
+            base = view.versions.packed.get(reply.base, b"")
             unpacked = codec.decompress(reply.configuration, base)
             if unpacked.is_error():
                 return expression.Error(unpacked.error)
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -11,6 +11,7 @@
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import models
 from hickorythread.mesh import revived
+from hickorythread.mesh import versions
 
 # Targets whose entries expired while the source was unreachable register again
 # within about two seconds of its recovery.
@@ -18,9 +19,6 @@
 # A removal that happens after the recovery must take effect within 2 s.
 MAX_REMOVAL_DELAY_SECONDS = 1.6
 MAX_DEPARTED_TARGETS = 1024
-# Recent versions are kept as bases for the deltas sent to peers that still
-# hold them.
-MAX_PACKED_VERSIONS = 4
 
 # What told that a target is gone.
 EVENT = "event"
@@ -33,23 +31,19 @@
 class View:
     """Hold the newest configuration, the targets and the evacuations.
 
-    revision is the revision of the source up to which targets are known;
-    evacuated holds the failure domains that get no new work. packed maps
-    recent configuration versions to their serialized form. departed holds
-    the ids of removed targets, and pending_removals maps ids to the times at
-    which delayed removals are due.
+    position is that of the source up to which targets are known,
+    operator_position the same for what the operator writes. departed maps the
+    ids of removed targets to their start times, and pending_removals maps ids
+    to the times at which delayed removals are due. logs holds what was
+    decided and not reported yet.
     """
 
     def __init__(self) -> None:
-        self.configuration: models.Configuration | None = None
-        self.packed: dict[int, bytes] = {}
+        self.versions = versions.Versions()
         self.targets: dict[str, models.Target] = {}
         # Built again after the targets have changed, None until then.
         self.index: dict[str, list[models.Target]] | None = None
         self.packed_targets: bytes | None = None
-        # Compressed forms of the newest version by the version that they
-        # start from, 0 for the whole of it.
-        self.differences: dict[int, bytes] = {}
         self.evacuations = evacuations.Evacuations()
         self.departed: dict[str, int] = {}
         self.ends = ends.EndedTargets()
@@ -58,7 +52,6 @@
         self.operator_position = models.Position(0, 0)
         self.grace_until = 0.0
         self.pending_removals: dict[str, float] = {}
-        # Decisions that have not been logged yet.
         self.logs: list[events.Log] = []
 
     def take_logs(self) -> list[events.Log]:
@@ -81,10 +74,15 @@
         """Return whether requests can be placed."""
         return self.configuration is not None and self.revision > 0
 
+    @property
+    def configuration(self) -> models.Configuration | None:
+        """Return the active configuration, None if there is none."""
+        return self.versions.newest
+
     @property
     def version(self) -> int:
         """Return the active configuration version, 0 if there is none."""
-        return self.configuration.version if self.configuration else 0
+        return self.versions.number
 
     @property
     def by_service(self) -> dict[str, list[models.Target]]:
@@ -106,14 +104,9 @@
 
     def put_configuration(self, configuration: models.Configuration) -> bool:
         """Activate a version if it is newer; return whether it was."""
-        if configuration.version <= self.version:
+        if not self.versions.put(configuration):
             return False
-        self.configuration = configuration
         self.index = None
-        self.differences.clear()
-        self.packed[configuration.version] = codec.pack(configuration.pack())
-        if len(self.packed) > MAX_PACKED_VERSIONS:
-            del self.packed[next(iter(self.packed))]
         return True
 
     def put_evacuated(
@@ -423,19 +416,6 @@
             )
         return self.packed_targets
 
-    def pack_difference(self, version: int) -> bytes:
-        """Return the newest version as its difference to another one.
-
-        It is complete if the version is not among the recent ones.
-        """
-        base = version if version in self.packed else 0
-        difference = self.differences.get(base)
-        if difference is None:
-            difference = self.differences[base] = codec.compress_packed(
-                self.packed[self.version], self.packed.get(base, b"")
-            )
-        return difference
-
     def _remove(self, target_id: str, reason: str) -> None:
         self.pending_removals.pop(target_id, None)
         target = self.targets.pop(target_id, None)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -199,7 +199,7 @@
         accepted += 1
         view = build.make_view()
         if view.put_configuration(configuration):
-            assert view.pack_difference(0)
+            assert view.versions.pack_difference(0)
         plane = build.make_entry(view)
         plane.request(build.make_request(), 0.0)
     assert accepted
