Take the last word of a predecessor for its own, not its successor's

A node that was frozen reads late what its target said. If a later process with the same id was registered meanwhile, its predecessor's announcement was recorded as the end of the new one, which callers would then never reach.

Each run and each probe remembers the start of the process to which it went. What comes back after a later start is known says nothing of the new process; a probe is sent again.

--- a/src/hickorythread/mesh/ends.py
+++ b/src/hickorythread/mesh/ends.py
@@ -6,6 +6,11 @@
 
 MAX_ENDS = 1024
 
+# What told that a process ends, beside its registration and a probe: a
+# response, or another node.
+RESPONSE = "response"
+PEER = "peer"
+
 
 class End:
     """Hold the last process of a target id whose end is known.
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -7,6 +7,7 @@
 from hickorythread import interfaces
 from hickorythread import messages as base_messages
 from hickorythread import retries
+from hickorythread.mesh import ends
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
 from hickorythread.mesh import models
@@ -41,9 +42,6 @@
 MIN_RETRY_RESERVE = 1.0
 INITIAL_RETRIES = 1.0
 MIN_SERVER_ERROR_STATUS = 500
-# What told that a target ends: its response, or a message of its node.
-RESPONSE = "response"
-PEER = "peer"
 # Statuses that promise the client that its request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -205,7 +203,7 @@
             peer.update_load(message.load, now)
         if message.reason == reasons.ENDING and message.instance:
             self.view.note_end(
-                message.instance, host_id, message.started_at_ms, PEER
+                message.instance, host_id, message.started_at_ms, ends.PEER
             )
         if not changed:
             return []
@@ -360,7 +358,9 @@
         started_at_ms = 0
         if target_id == pending.target_id:
             started_at_ms = pending.target_started_at_ms
-        self.view.note_end(target_id, pending.host_id, started_at_ms, RESPONSE)
+        self.view.note_end(
+            target_id, pending.host_id, started_at_ms, ends.RESPONSE
+        )
 
     def _handle_complete(
         self,
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -8,6 +8,7 @@
 from hickorythread import messages as base_messages
 from hickorythread import quarantine
 from hickorythread.mesh import admission
+from hickorythread.mesh import ends
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
 from hickorythread.mesh import models
@@ -21,8 +22,6 @@
 DEFAULT_SLOTS = 4
 DEFAULT_HEALTH_PATH = "/healthz"
 MAX_FINISHED_CALLS = 4096
-# What told that the target ends, beside its responses.
-PEER = "peer"
 # A target that is warming up gets only this part of the excess that the
 # settings allow over its warm-up rate. Starts that reach it in bunches then
 # still stay within the limit.
@@ -34,7 +33,8 @@
 class Run:
     """Hold an accepted call until its outcome is known.
 
-    run_id is 0 while the call is queued.
+    run_id is 0 while the call is queued. instance and target_started_at_ms
+    tell which process the call was started at.
     """
 
     __slots__ = (
@@ -45,6 +45,7 @@
         "received_at",
         "started_at",
         "instance",
+        "target_started_at_ms",
         "cancelled",
     )
 
@@ -62,6 +63,7 @@
         self.received_at = received_at
         self.started_at = 0.0
         self.instance = ""
+        self.target_started_at_ms = 0
         self.cancelled = False
 
 
@@ -176,7 +178,9 @@
             refusal = self._reply_not_run(run, 503, reasons.OTHER_INSTANCE)
             return refusal + self._pause(reasons.OTHER_INSTANCE, now)
         actions: list[events.Record] = []
-        if run.instance == self.instance:
+        if run.instance == self.instance and not self._is_succeeded(
+            run.target_started_at_ms
+        ):
             actions = self._note_response(
                 response, target_notices.RESPONSE, run.started_at, now
             )
@@ -250,6 +254,9 @@
             )
             self.instance = result.instance
             self._apply_registration(now)
+        if self._is_succeeded(self.probes.target_started_at_ms):
+            # Its predecessor may have answered, so it is asked again.
+            return actions + self._pause("target-succeeded", now)
         actions += self._note_response(
             result, target_notices.PROBE, self.probes.sent_at, now
         )
@@ -398,6 +405,7 @@
         run.run_id = self.last_run_id
         run.started_at = now
         run.instance = self.instance
+        run.target_started_at_ms = self._started_at_ms()
         self.runs[run.run_id] = run
         self.running_retries += run.call.repeat
         self.notices.starts += 1
@@ -480,7 +488,7 @@
         return [log, *self._probe(now)]
 
     def _probe(self, now: float) -> list[events.Record]:
-        self.probes.start(now)
+        self.probes.start(now, self._started_at_ms())
         service = self.service
         path = service.health_path if service else DEFAULT_HEALTH_PATH
         return [events.Probe(path)]
@@ -498,7 +506,7 @@
             message.target_id,
             self.settings.host_id,
             message.started_at_ms,
-            PEER,
+            ends.PEER,
         )
         return self._announce(now)
 
@@ -509,6 +517,10 @@
             return 0
         return known.started_at_ms
 
+    def _is_succeeded(self, started_at_ms: int) -> bool:
+        """Return whether the id now belongs to a later process than that."""
+        return 0 < started_at_ms < self._started_at_ms()
+
     def _apply_registration(self, now: float) -> None:
         """Apply the slots and the warm-up of the target's registration."""
         target = self.view.targets.get(self.instance)
--- a/src/hickorythread/mesh/probes.py
+++ b/src/hickorythread/mesh/probes.py
@@ -8,18 +8,24 @@
 
 
 class ProbeSchedule:
-    """Hold whether a probe is running and when the last one was sent."""
+    """Hold whether a probe is running and when the last one was sent.
 
-    __slots__ = ("running", "sent_at")
+    target_started_at_ms is the start of the process to which it was sent, 0
+    if that was not known.
+    """
+
+    __slots__ = ("running", "sent_at", "target_started_at_ms")
 
     def __init__(self) -> None:
         self.running = False
         self.sent_at = -INTERVAL_SECONDS
+        self.target_started_at_ms = 0
 
-    def start(self, now: float) -> None:
+    def start(self, now: float, target_started_at_ms: int) -> None:
         """Record that a probe was sent."""
         self.running = True
         self.sent_at = now
+        self.target_started_at_ms = target_started_at_ms
 
     def hasten(self, now: float) -> None:
         """Let the next probe be due at once, unless one is running."""
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -347,3 +347,34 @@
     answer_probe(plane, 200, 1.1, leaving=True)
     assert not plane.state().usable
     assert plane.view.targets["t1"].draining
+
+
+def test_late_answer_of_a_predecessor_does_not_end_its_successor():
+    """Guards against a new process that is never served.
+
+    A node that wakes reads what its predecessor said before it ended.
+    """
+    plane = build.make_execution(make_ended_view(started_at_ms=5))
+    plane.view_changed(False, 0.0)
+    plane.call("10.0.0.2", build.make_call(), 0.0)
+    plane.view.put_target(build.make_target(1, started_at_ms=6))
+    plane.view_changed(False, 1.0)
+    answer = events.TargetResponse(200, [], b"ok", leaving=True)
+    plane.handle_response(1, answer, 1.1)
+    assert plane.state().usable
+    assert not plane.view.targets["t1"].draining
+
+
+def test_late_probe_of_a_predecessor_does_not_end_its_successor():
+    """Guards against a new process that is never served."""
+    plane = build.make_execution(make_ended_view(started_at_ms=5))
+    plane.view_changed(False, 0.0)
+    plane.admission.paused = True
+    assert build.of_type(plane.tick(1.0), events.Probe)
+    plane.view.put_target(build.make_target(1, started_at_ms=6))
+    plane.view_changed(False, 1.1)
+    actions = answer_probe(plane, 503, 1.2, leaving=True)
+    assert not plane.view.targets["t1"].draining
+    assert build.of_type(actions, events.Probe)
+    answer_probe(plane, 200, 1.6)
+    assert plane.state().usable
