--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -242,6 +242,38 @@
     )
 
 
+class WatchHandler:
+    """Keep a watcher active and record its reports."""
+
+    def __init__(self):
+        self.is_active = True
+        self.initial_position = None
+        self.reports = []
+        self.applied = []
+        self.stop_count = 0
+
+    def reads_topic(self, topic):
+        return self.is_active
+
+    def known_position(self, topic):
+        return self.initial_position
+
+    def watch_timeout(self, topic):
+        return 25.0
+
+    def batch_delay(self):
+        return 0.25
+
+    def apply_batch(self, topic, batch, complete):
+        self.applied.append((batch.revision, complete))
+
+    def source_status_changed(self, topic, failure):
+        self.reports.append(failure)
+
+    def reading_stopped(self, topic):
+        self.stop_count += 1
+
+
 def of_type(actions, kind):
     return [action for action in actions if isinstance(action, kind)]
 
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -266,38 +266,6 @@
     assert log.values["reasons"] == reasons
 
 
-class WatchHandler:
-    """Keep a watcher active and record its reports."""
-
-    def __init__(self):
-        self.is_active = True
-        self.initial_position = None
-        self.reports = []
-        self.applied = []
-        self.stop_count = 0
-
-    def reads_topic(self, topic):
-        return self.is_active
-
-    def known_position(self, topic):
-        return self.initial_position
-
-    def watch_timeout(self, topic):
-        return 25.0
-
-    def batch_delay(self):
-        return 0.25
-
-    def apply_batch(self, topic, batch, complete):
-        self.applied.append((batch.revision, complete))
-
-    def source_status_changed(self, topic, failure):
-        self.reports.append(failure)
-
-    def reading_stopped(self, topic):
-        self.stop_count += 1
-
-
 def make_watcher(source, handler, topic=interfaces.TARGETS):
     return watcher.Watcher(topic, source, handler, random.Random(1))
 
@@ -324,7 +292,7 @@
 def test_return_of_the_source_is_noticed_before_the_next_change():
     """Guards against a grace period that starts only at the next change."""
     source = FailingSource(2)
-    handler = WatchHandler()
+    handler = build.WatchHandler()
     source_watcher = make_watcher(source, handler)
     for _ in range(5):
         source_watcher.step()
@@ -354,7 +322,7 @@
     source no longer keeps that history.
     """
     source = SkippingSource()
-    source_watcher = make_watcher(source, WatchHandler())
+    source_watcher = make_watcher(source, build.WatchHandler())
     for _ in range(3):
         source_watcher.step()
     assert source.requested_revisions == [5, 5]
--- a/tests/test_restored_source.py
+++ b/tests/test_restored_source.py
@@ -13,7 +13,6 @@
 from hickorythread.platform import store
 from tests import mesh_builders as build
 from tests import store_standin
-from tests import test_mesh_decisions
 
 RESTORED_AT = 100.0
 
@@ -104,7 +103,7 @@
     node_watcher = watcher.Watcher(
         interfaces.TARGETS,
         source,
-        test_mesh_decisions.WatchHandler(),
+        build.WatchHandler(),
         random.Random(1),
     )
     for _ in range(4):
