Count the eras of a source from zero as well

With zero as the mark of an unknown era, a source whose first era is zero was compared by revisions alone after its first restoration, so that its list was ignored as older. An unknown era has a value of its own now. The test failed before.

--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -65,8 +65,7 @@
 
     revision is the position from which to watch for further changes.
     superseded counts the changes that were dropped because a later change in
-    the same batch replaces them. era is that of the source, 0 if it states
-    none.
+    the same batch replaces them. era is that of the source.
     """
 
     __slots__ = ("changes", "revision", "superseded", "era")
@@ -76,7 +75,7 @@
         changes: list[Change],
         revision: int,
         superseded: int = 0,
-        era: int = 0,
+        era: int = models.UNKNOWN_ERA,
     ) -> None:
         self.changes = changes
         self.revision = revision
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -177,15 +177,15 @@
     code = 42
     types = (int, int, int, int, int)
     # Nodes of earlier releases do not know the eras.
-    defaults = (0, 0)
+    defaults = (models.UNKNOWN_ERA, models.UNKNOWN_ERA)
 
     def __init__(
         self,
         version: int,
         revision: int,
         operator_revision: int,
-        era: int = 0,
-        operator_era: int = 0,
+        era: int = models.UNKNOWN_ERA,
+        operator_era: int = models.UNKNOWN_ERA,
     ) -> None:
         self.version = version
         self.revision = revision
@@ -217,7 +217,7 @@
     code = 43
     types = (bytes, bytes, int, list, int, int, dict, int, int)
     # Nodes of earlier releases do not know the eras.
-    defaults = (0, 0)
+    defaults = (models.UNKNOWN_ERA, models.UNKNOWN_ERA)
 
     def __init__(
         self,
@@ -228,8 +228,8 @@
         operator_revision: int,
         base: int,
         held: dict[str, float],
-        era: int = 0,
-        operator_era: int = 0,
+        era: int = models.UNKNOWN_ERA,
+        operator_era: int = models.UNKNOWN_ERA,
     ) -> None:
         self.configuration = configuration
         self.targets = targets
@@ -261,7 +261,7 @@
     code = 45
     types = (int, int, int, bool, bool, int, int)
     # Nodes of earlier releases relay no notices and do not know the eras.
-    defaults = (False, 0, 0)
+    defaults = (False, models.UNKNOWN_ERA, models.UNKNOWN_ERA)
 
     def __init__(
         self,
@@ -270,8 +270,8 @@
         operator_revision: int,
         fresh: bool,
         relayed: bool = False,
-        era: int = 0,
-        operator_era: int = 0,
+        era: int = models.UNKNOWN_ERA,
+        operator_era: int = models.UNKNOWN_ERA,
     ) -> None:
         self.version = version
         self.revision = revision
--- a/src/hickorythread/mesh/models.py
+++ b/src/hickorythread/mesh/models.py
@@ -4,6 +4,9 @@
 
 from hickorythread import utils
 
+# Era of a source that states none.
+UNKNOWN_ERA = -1
+
 
 class Value:
     """Serve as base class of data objects; compares and prints by value."""
@@ -28,7 +31,7 @@
     """Tell how far the history of the source is known.
 
     The source may be restored from an older copy. Its revisions then go back
-    and are given out again, and its era rises by one; 0 is an unknown era.
+    and are given out again, and its era rises by one.
     """
 
     __slots__ = ("era", "revision")
@@ -38,13 +41,19 @@
         self.revision = revision
 
     def __lt__(self, other: "Position") -> bool:
-        if self.era and other.era and self.era != other.era:
+        if self.has_era and other.has_era and self.era != other.era:
             return self.era < other.era
         return self.revision < other.revision
 
     def is_restored_after(self, other: "Position") -> bool:
         """Return whether the source was restored since another position."""
-        return other.revision > 0 and 0 < other.era < self.era
+        is_known = other.has_era and other.revision > 0
+        return is_known and other.era < self.era
+
+    @property
+    def has_era(self) -> bool:
+        """Return whether the era is known."""
+        return self.era != UNKNOWN_ERA
 
 
 class Route(Value):
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -48,8 +48,8 @@
         self.departed: dict[str, int] = {}
         self.ends = ends.EndedTargets()
         self.revived = revived.RevivedTargets()
-        self.position = models.Position(0, 0)
-        self.operator_position = models.Position(0, 0)
+        self.position = models.Position(models.UNKNOWN_ERA, 0)
+        self.operator_position = models.Position(models.UNKNOWN_ERA, 0)
         self.grace_until = 0.0
         self.pending_removals: dict[str, float] = {}
         self.logs: list[events.Log] = []
@@ -460,7 +460,8 @@
 ) -> models.Position:
     """Return the later position, with the known era if it states none."""
     later = known if position < known else position
-    return models.Position(later.era or known.era, later.revision)
+    era = later.era if later.has_era else known.era
+    return models.Position(era, later.revision)
 
 
 def _group_by_service(
--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -119,8 +119,10 @@
 
     def _is_of_another_era(self, batch: interfaces.ChangeBatch) -> bool:
         """Return whether the source was restored since the last response."""
-        known = self.position.era if self.position else 0
-        return bool(known and batch.era and known != batch.era)
+        known, answered = self.position, batch.position
+        if known is None or not known.has_era or not answered.has_era:
+            return False
+        return known.era != answered.era
 
     def _next_delay(
         self, batch: interfaces.ChangeBatch, complete: bool
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -69,7 +69,7 @@
         """
         changes: list[interfaces.Change] = []
         revision = -1
-        first_era = 0
+        first_era = models.UNKNOWN_ERA
         query = {"prefix": PREFIXES[topic]}
         try:
             for _ in range(MAX_PAGES):
@@ -226,13 +226,13 @@
 
 
 def _parse_era(headers: dict[str, str]) -> int:
-    """Return the era of the store, 0 if it states none.
+    """Return the era of the store.
 
     Raises ValueError if the header is malformed.
     """
     text = headers.get(ERA)
     if text is None:
-        return 0
+        return models.UNKNOWN_ERA
     era = http_requests.parse_count(text)
     if era is None:
         raise ValueError(f"era {text!r:.40} is not a number")
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -151,7 +151,7 @@
     }
 
 
-def make_position(revision, era=0):
+def make_position(revision, era=models.UNKNOWN_ERA):
     return models.Position(era, revision)
 
 
--- a/tests/test_restored_source.py
+++ b/tests/test_restored_source.py
@@ -8,6 +8,7 @@
 from hickorythread.mesh import exchange
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
+from hickorythread.mesh import models
 from hickorythread.mesh import view as mesh_view
 from hickorythread.mesh import watcher
 from hickorythread.platform import store
@@ -50,7 +51,7 @@
 
 def test_era_of_the_source_is_read_with_its_answers(standin):
     client = make_client(standin)
-    assert client.read(interfaces.TARGETS).ok.era == 0
+    assert client.read(interfaces.TARGETS).ok.era == models.UNKNOWN_ERA
     standin.era_text = "3"
     batch = client.read(interfaces.TARGETS).ok
     assert batch.era == 3
@@ -431,3 +432,12 @@
         evacuated = self.written.get("op/evacuate/hobart") is not None
         assert self.view.evacuated == ({"hobart"} if evacuated else set())
         assert self.view.version == self.version
+
+
+def test_first_era_may_be_zero(standin):
+    """Guards against a restored list that is taken for an older one."""
+    standin.era_text = "0"
+    batch = make_client(standin).read(interfaces.TARGETS).ok
+    view = make_known_view(era=batch.era)
+    list_targets(view, (1, 2, 4), era=1)
+    assert "t4" in view.targets and view.position.values() == [1, 900]
