--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,7 +17,7 @@
 from hickorythread.platform import store
 from tests import mesh_builders as build
 from tests import servers
-from tests import store_standin
+from tools.loopback import store_standin
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WIRE_NAMES = re.compile(
--- a/tests/test_restored_source.py
+++ b/tests/test_restored_source.py
@@ -13,7 +13,7 @@
 from hickorythread.mesh import watcher
 from hickorythread.platform import store
 from tests import mesh_builders as build
-from tests import store_standin
+from tools.loopback import store_standin
 
 RESTORED_AT = 100.0
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,238 +1,26 @@
 """Tests of sidecar processes with stand-ins for the store and the targets."""
 
 import http.client
-import http.server
 import itertools
 import json
-import os
-import pathlib
 import signal
-import socket
-import subprocess
-import sys
 import threading
 import time
 
 import pytest
 
 from tests import mesh_builders as build
-from tests import store_standin
 from tests import test_server
+from tools.loopback import documents
+from tools.loopback import sidecars
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-HOSTS = {"127.0.0.2": "launceston", "127.0.0.3": "hobart"}
-REGIONS = {"launceston": "north", "hobart": "south"}
-# Bounds waits that would otherwise hang; no result depends on its value.
-WAIT_SECONDS = 30.0
-
-
-class Target:
-    """HTTP server that responds with its instance id and the request path."""
-
-    def __init__(self, address, instance):
-        self.instance = instance
-        self.runs = []
-        self.delay_seconds = 0.0
-        self.release = threading.Event()
-        self.release.set()
-        target = self
-
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def handle_any(self):
-                length = int(self.headers.get("Content-Length") or 0)
-                body = self.rfile.read(length)
-                if self.path == "/healthz":
-                    self.answer(200, b"")
-                    return
-                expected = self.headers.get("Hickorythread-Expect-Instance")
-                if expected != target.instance:
-                    self.answer(421, b"")
-                    return
-                target.runs.append((self.path, dict(self.headers), body))
-                target.release.wait(WAIT_SECONDS)
-                time.sleep(target.delay_seconds)
-                self.answer(200, f"{target.instance} {self.path}".encode())
-
-            do_GET = do_POST = handle_any
-
-            def answer(self, status, body):
-                self.send_response(status)
-                self.send_header("Hickorythread-Instance-Id", target.instance)
-                self.send_header("Hickorythread-Server-Stamp", "stamp")
-                attempt = self.headers.get("Hickorythread-Attempt-Id")
-                if attempt:
-                    self.send_header("Hickorythread-Attempt-Id", attempt)
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                self.wfile.write(body)
-
-            def log_message(self, *arguments):
-                """Suppress request logging."""
-
-        self.server = http.server.ThreadingHTTPServer(address, Handler)
-        self.server.daemon_threads = True
-        threading.Thread(
-            target=self.server.serve_forever, args=(0.02,), daemon=True
-        ).start()
-
-
-def make_long_timeout_document(version):
-    """Return a configuration with timeouts long enough for a busy machine.
-
-    No route is split, because the first request to a split route may go to
-    any of its services.
-    """
-    document = build.make_configuration_document(version)
-    for route in document["hosts"][0]["paths"]:
-        route["timeout_ms"] = 20_000
-        route["slo_ms"] = 10_000
-        route.pop("split", None)
-        route["service"] = "spec-desk"
-    return document
-
-
-def free_ports(count):
-    """Return ports that are currently free on all loopback addresses."""
-    sockets = [socket.create_server(("", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
-class Mesh:
-    """Runs one sidecar and target per host, and one store for all."""
-
-    def __init__(self, folder):
-        self.folder = folder
-        self.store = store_standin.Store()
-        names = ("request", "readiness", "stream", "metrics", "target")
-        self.ports = dict(zip(names, free_ports(len(names)), strict=True))
-        self.targets = {}
-        self.processes = {}
-        self.store.put("op/config", make_long_timeout_document(7))
-        for number, host in enumerate(HOSTS, 1):
-            address = (host, self.ports["target"])
-            self.targets[host] = Target(address, f"i-{number}")
-            self.register(host)
-        for host in HOSTS:
-            self.start(host)
-        for host in HOSTS:
-            self.wait_until(lambda host=host: self.is_ready(host))
-            self.wait_until(lambda host=host: self.is_usable(host))
-
-    def register(self, host, **values):
-        instance = self.targets[host].instance
-        document = build.make_entry_document(
-            address=f"{host}:{self.ports['target']}",
-            zone=HOSTS[host],
-            warmup_left_ms=0,
-            **values,
-        )
-        self.store.put(f"servers/{instance}", document)
-
-    def start(self, host):
-        settings = {
-            "host_id": host,
-            "failure_domain": HOSTS[host],
-            "regions": REGIONS,
-            "service": "spec-desk",
-            "target_address": f"{host}:{self.ports['target']}",
-            "request_address": f"{host}:{self.ports['request']}",
-            "readiness_address": f"{host}:{self.ports['readiness']}",
-            "stream_port": self.ports["stream"],
-            "metrics_port": self.ports["metrics"],
-            "source_address": self.store.address,
-            "grace_seconds": 6,
-            "retry_share": 0.2,
-            "retry_slack": 60,
-        }
-        path = self.folder / f"{host}.json"
-        path.write_text(json.dumps(settings), "utf-8")
-        with open(self.folder / f"{host}.log", "ab") as log:
-            self.processes[host] = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-W",
-                    "ignore",
-                    "-m",
-                    "hickorythread",
-                    "sidecar",
-                    "--settings",
-                    str(path),
-                ],
-                env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
-
-    def request(self, host, path, method="GET", body=None, **headers):
-        """Send a request; return the status, headers and body."""
-        connection = http.client.HTTPConnection(
-            host, self.ports["request"], timeout=WAIT_SECONDS
-        )
-        fields = {
-            "Host": "a.example",
-            "Hickorythread-Attempt-Id": f"id-{time.monotonic_ns()}",
-            "Hickorythread-Deadline-Ms": "20000",
-        }
-        try:
-            connection.request(method, path, body, fields | headers)
-            response = connection.getresponse()
-            return response.status, response.headers, response.read()
-        finally:
-            connection.close()
-
-    def get(self, host, port, path):
-        connection = http.client.HTTPConnection(
-            host, self.ports[port], timeout=WAIT_SECONDS
-        )
-        try:
-            connection.request("GET", path)
-            response = connection.getresponse()
-            return response.status, response.read()
-        except OSError:
-            return 0, b""
-        finally:
-            connection.close()
-
-    def is_ready(self, host):
-        return self.get(host, "readiness", "/-/readyz")[0] == 200
-
-    def is_usable(self, host):
-        status, body = self.get(host, "metrics", "/status")
-        if status != 200:
-            return False
-        document = json.loads(body)
-        return (
-            document["instance"] == self.targets[host].instance
-            and len(document["connected"]) == len(HOSTS) - 1
-        )
-
-    def wait_until(self, condition):
-        deadline = time.monotonic() + WAIT_SECONDS
-        while not condition():
-            assert time.monotonic() < deadline, "condition was not met in time"
-            time.sleep(0.05)
-
-    def read_log(self, host):
-        return (self.folder / f"{host}.log").read_text("utf-8")
-
-    def close(self):
-        for process in self.processes.values():
-            process.kill()
-            process.wait()
-        for target in self.targets.values():
-            target.server.shutdown()
-            target.server.server_close()
-        self.store.close()
+HOSTS = sidecars.HOSTS
+WAIT_SECONDS = sidecars.WAIT_SECONDS
 
 
 @pytest.fixture(scope="module")
 def mesh(tmp_path_factory):
-    running_mesh = Mesh(tmp_path_factory.mktemp("mesh"))
+    running_mesh = sidecars.Mesh(tmp_path_factory.mktemp("mesh"))
     yield running_mesh
     running_mesh.close()
 
@@ -264,7 +52,7 @@
 
 
 def test_new_version_is_in_force_on_all_nodes(mesh):
-    document = make_long_timeout_document(8)
+    document = documents.make_long_timeout_document(8)
     extra = dict(document["hosts"][0]["paths"][1], name="x", prefix="/x/")
     document["hosts"][0]["paths"].append(extra)
     mesh.store.put("op/config", document)
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -12,7 +12,7 @@
 from hickorythread.platform import documents
 from hickorythread.platform import store
 from tests import mesh_builders as build
-from tests import store_standin
+from tools.loopback import store_standin
 
 # The source answers a node again only now, after a silent connection to it
 # was found; the removal is as old as the silence.
--- /dev/null
+++ b/tools/loopback/__init__.py
@@ -0,0 +1,1 @@
+"""Real sidecars with a store and targets on loopback addresses."""
