--- /dev/null
+++ b/tests/test_descriptor_limits.py
@@ -0,0 +1,73 @@
+"""Tests of sidecar processes that run out of file descriptors."""
+
+import os
+import resource
+import socket
+import time
+
+import pytest
+
+from tools.loopback import sidecars
+
+NORTH, SOUTH = sidecars.HOSTS
+LISTENERS = ("request", "readiness", "stream", "metrics")
+LIMIT = 100
+FLOOD_CONNECTIONS = 480
+
+
+@pytest.fixture
+def mesh(tmp_path):
+    running_mesh = sidecars.Mesh(tmp_path)
+    yield running_mesh
+    running_mesh.close()
+
+
+def restart_limited(mesh, host, limit=LIMIT, hard_limit=None):
+    """Start the sidecar of a host again with a limit of descriptors."""
+    mesh.processes[host].kill()
+    mesh.processes[host].wait()
+    limits = (limit, hard_limit or limit)
+    mesh.start(
+        host,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits),
+    )
+    mesh.wait_until(lambda: mesh.is_ready(host))
+    mesh.wait_until(lambda: mesh.is_usable(host))
+
+
+def count_descriptors(mesh, host):
+    return len(os.listdir(f"/proc/{mesh.processes[host].pid}/fd"))
+
+
+def open_flood(mesh, host, count=FLOOD_CONNECTIONS, listeners=LISTENERS):
+    """Open connections that never send a byte; a full queue drops some."""
+    connections = []
+    for number in range(count):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex((host, mesh.ports[listeners[number % len(listeners)]]))
+        connections.append(sock)
+        time.sleep(0.002)
+    return connections
+
+
+def close_all(connections):
+    for sock in connections:
+        sock.close()
+
+
+def test_process_without_free_descriptors_survives_and_serves_again(mesh):
+    """Guards against a process that ends when accept() has no descriptor."""
+    restart_limited(mesh, SOUTH)
+    before = count_descriptors(mesh, SOUTH)
+    flood = open_flood(mesh, SOUTH)
+    try:
+        assert mesh.processes[SOUTH].poll() is None
+        mesh.wait_until(lambda: mesh.is_ready(SOUTH))
+        mesh.wait_until(lambda: mesh.get(SOUTH, "metrics", "/status")[0])
+        mesh.wait_until(lambda: mesh.request(SOUTH, "/two/1")[0] == 200)
+    finally:
+        close_all(flood)
+    mesh.wait_until(lambda: count_descriptors(mesh, SOUTH) <= before + 2)
+    assert mesh.request(SOUTH, "/two/2")[0] == 200
+    assert mesh.processes[SOUTH].poll() is None
