Accept connections within the limit of descriptors

With RLIMIT_NOFILE 100 and 480 connections over the four ports a sidecar ended with exit code 5: eventlet's server lets an error of accept() out of its loop, other than those of a closed socket, for which it stops serving. Every request in hand ended without an answer. Without EMFILE one listener could still take all descriptors from the others.

The limit is now read at the start, its soft part raised to the hard one, and shared out by descriptors.Shares. All HTTP listeners run one accept loop of our own: no error of one accept() ends it, at its share it closes the connection that is idle longest, or refuses the new one as not run. Accepted streams have a share too, and those without a handshake give way.

The connection handler no longer derives from that of eventlet, of which it used only the constructor.

--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 protocol handler for the WSGI server of eventlet.
+"""HTTP/1.1 protocol handler for WSGI applications.
 
 The request loop of eventlet takes about as long as the rest of a short
 request: it parses heads with the email package, and formats and writes the
@@ -21,9 +21,9 @@
 
 import eventlet
 from eventlet import hubs
-from eventlet import wsgi
 
 from hickorythread import connection_reader
+from hickorythread import connection_table
 from hickorythread import http_client
 from hickorythread import http_requests
 from hickorythread import logs
@@ -160,7 +160,7 @@
         )
 
 
-class HttpProtocol(wsgi.HttpProtocol):  # type: ignore[misc]
+class HttpProtocol:
     """Serve the requests of one connection.
 
     Its task reads the requests. Those of an application that defers its
@@ -170,9 +170,17 @@
     """
 
     def __init__(
-        self, options: ConnectionOptions, conn_state: list[Any], server: Any
+        self,
+        options: ConnectionOptions,
+        accepted: connection_table.Connection,
+        app: Callable[..., Iterable[bytes]],
     ) -> None:
         self.options = options
+        self.accepted = accepted
+        self.app = app
+        self.connection = accepted.sock
+        self.rfile = connection_reader.ConnectionReader(self.connection)
+        self.rfile.idle_timeout = options.idle_seconds
         self.responses: pipelining.ResponseQueue[Exchange] = (
             pipelining.ResponseQueue(options.backlog)
         )
@@ -185,23 +193,14 @@
         self.abandoned = False
         self.waiting_task: Any = None
         self.unsent: list[bytes] = []
-        super().__init__(conn_state, server)
-
-    def setup(self) -> None:
-        """Prepare the connection for reading."""
-        self.connection = self.request
-        self.rfile = connection_reader.ConnectionReader(self.connection)
-        self.rfile.idle_timeout = self.options.idle_seconds
 
-    def finish(self) -> None:
-        """Close the connection."""
-        http_client.shut_down(self.connection)
-        self.connection.close()
-
-    def handle(self) -> None:
+    def serve(self) -> None:
         """Serve requests until either side closes the connection."""
-        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
+            # Fails if the caller has reset the connection meanwhile.
+            self.connection.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+            )
             while self._may_continue() and self._serve_request():
                 pass
             self.closing = True
@@ -265,8 +264,7 @@
         """Let the task of the connection go on after a change of its state."""
         if self._all_sent() and not self.head_begun:
             # On shutdown the server closes only idle connections.
-            if self.conn_state[2] == wsgi.STATE_REQUEST:
-                self.conn_state[2] = wsgi.STATE_IDLE
+            self.accepted.table.mark_idle(self.accepted, time.monotonic())
         task, self.waiting_task = self.waiting_task, None
         if task is not None:
             hubs.get_hub().schedule_call_global(0, task.switch)
@@ -285,8 +283,7 @@
 
     def _is_draining(self) -> bool:
         """Return whether the server starts no further requests."""
-        closed: bool = self.conn_state[2] == wsgi.STATE_CLOSE
-        return closed or self.options.draining
+        return self.accepted.closing or self.options.draining
 
     def _all_sent(self) -> bool:
         return not self.responses.open and not self.unsent
@@ -337,8 +334,7 @@
     def _read_head(self) -> http_requests.Head | http_requests.HeadError:
         """Read the head of a request, or return what is wrong with it."""
         self.head_begun = True
-        if self.conn_state[2] == wsgi.STATE_IDLE:
-            self.conn_state[2] = wsgi.STATE_REQUEST
+        self.accepted.table.mark_busy(self.accepted)
         self.rfile.limit(self.options.request_seconds)
         try:
             return http_requests.read_head(self.rfile)
@@ -351,7 +347,7 @@
         self, exchange: Exchange, head: http_requests.Head
     ) -> dict[str, Any]:
         """Build the WSGI environment of a request."""
-        environ: dict[str, Any] = self.server.get_environ()
+        environ: dict[str, Any] = {}
         path, _, query = head.target.partition("?")
         environ.update(head.fields)
         environ["REQUEST_METHOD"] = head.method
@@ -373,7 +369,7 @@
         self, exchange: Exchange, head: http_requests.Head
     ) -> None:
         try:
-            parts: Iterable[bytes] = self.server.app(
+            parts: Iterable[bytes] = self.app(
                 self._make_environ(exchange, head), exchange.start_response
             )
         except (OSError, EOFError):
@@ -472,6 +468,15 @@
     return bool(data)
 
 
+def has_unread_data(sock: Any) -> bool:
+    """Return whether bytes of the peer of a green socket wait to be read."""
+    try:
+        data = sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:
+        return False
+    return bool(data)
+
+
 def _reject_write(data: bytes) -> None:
     raise NotImplementedError("write() is not supported, return the body")
 
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -9,6 +9,7 @@
 import eventlet
 
 from hickorythread import codec
+from hickorythread import descriptors
 from hickorythread import events as base_events
 from hickorythread import exceptions
 from hickorythread import http_protocol
@@ -19,9 +20,11 @@
 from hickorythread import metrics
 from hickorythread import pipelining
 from hickorythread import process
+from hickorythread import resource_limits
 from hickorythread import server
 from hickorythread import streams
 from hickorythread import utils
+from hickorythread.mesh import connections
 from hickorythread.mesh import entry
 from hickorythread.mesh import events
 from hickorythread.mesh import exchange
@@ -124,6 +127,17 @@
         self.clients: dict[int, interfaces.Client] = {}
         self.backlog = pipelining.Backlog()
         self.client_connections = http_protocol.ConnectionOptions(self.backlog)
+        self.connections = connections.Connections(
+            self.metrics,
+            clock,
+            self._count_outgoing,
+            lambda: len(self.streams.accepted),
+            resource_limits.raise_descriptor_limit,
+        )
+        self.streams.admission = connections.ListenerAdmission(
+            self.connections, descriptors.STREAMS
+        )
+        self.streams.on_shortage = self.connections.relieve
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
         self.last_number = 0
         self.reported_dropped = 0
@@ -148,17 +162,27 @@
         """
         settings = self.settings
         host_id = settings.host_id
+        limit = self.connections.update_limit()
         self.streams.listen(f"{host_id}:{settings.stream_port}")
         apps = (
-            (settings.request_address, ingress.RequestApp(self)),
-            (settings.readiness_address, ingress.ReadinessApp(self.ready)),
+            (
+                settings.request_address,
+                ingress.RequestApp(self),
+                descriptors.REQUESTS,
+            ),
+            (
+                settings.readiness_address,
+                ingress.ReadinessApp(self.ready),
+                descriptors.READINESS,
+            ),
             (
                 f"{host_id}:{settings.metrics_port}",
                 ingress.MetricsApp(self),
+                descriptors.METRICS,
             ),
         )
-        for address, app in apps:
-            self.spawn(self._serve, self.listen(address), app)
+        for address, app, use in apps:
+            self.spawn(self._serve, self.listen(address), app, use)
         for source_watcher in self.synchronizer.watchers:
             self.spawn(source_watcher.run)
         for task in (
@@ -169,7 +193,9 @@
             self._flush,
         ):
             self.spawn(task)
-        logs.info("node_started", incarnation=self.incarnation)
+        logs.info(
+            "node_started", incarnation=self.incarnation, descriptors=limit
+        )
 
     def stop(self) -> None:
         """Start a graceful shutdown that completes the running requests."""
@@ -229,17 +255,24 @@
     def _is_busy(self) -> bool:
         return not (self.backlog.empty and self.execution.idle)
 
-    def _serve(self, listener: Any, app: Any) -> None:
+    def _serve(self, listener: Any, app: Any, use: str) -> None:
         options = None
-        if isinstance(app, ingress.RequestApp):
+        if use == descriptors.REQUESTS:
             options = self.client_connections
+        admission = connections.ListenerAdmission(self.connections, use)
+        table = self.connections.tables[use]
         try:
-            server.serve(listener, app, options)
+            server.serve(listener, app, options, admission, table)
         except OSError:
             # The listener is closed on purpose during shutdown.
             if self.accepting:
                 raise
 
+    def _count_outgoing(self) -> int:
+        target = self.target
+        running = len(target.active_requests) + len(target.idle)
+        return running + len(self.streams.opened)
+
     # Tasks.
 
     def _tick(self) -> None:
@@ -290,6 +323,7 @@
             while self.decisions.flush(sys.stdout, FLUSH_LINES) == FLUSH_LINES:
                 eventlet.sleep(0)
             self._report_dropped()
+            self.connections.report()
             self.metrics.flush()
             self.target.expire(self.clock.monotonic())
 
@@ -540,6 +574,7 @@
 
     def render_metrics(self) -> bytes:
         """Return counters, gauges and durations as Prometheus text."""
+        self.connections.set_gauges()
         return self.telemetry.render(
             self.entry,
             self.execution,
--- a/src/hickorythread/server.py
+++ b/src/hickorythread/server.py
@@ -9,11 +9,12 @@
 from urllib import parse
 
 import eventlet
-from eventlet import wsgi
 
 from hickorythread import acceptance
+from hickorythread import connection_table
 from hickorythread import events
 from hickorythread import exceptions
+from hickorythread import http_listener
 from hickorythread import http_protocol
 from hickorythread import http_requests
 from hickorythread import messages
@@ -347,19 +348,17 @@
     listener: Any,
     app: Any,
     options: http_protocol.ConnectionOptions | None = None,
+    admission: http_listener.Admission | None = None,
+    table: connection_table.ConnectionTable | None = None,
 ) -> None:
     """Run a WSGI server on a listener until its task is killed."""
-    pool = eventlet.GreenPool(MAX_CONNECTIONS)
-    options = options or http_protocol.ConnectionOptions()
-    wsgi.server(
+    http_listener.HttpListener(
         listener,
         app,
-        custom_pool=pool,
-        log_output=False,
-        debug=False,
-        socket_timeout=options.idle_seconds,
-        protocol=functools.partial(http_protocol.HttpProtocol, options),
-    )
+        options or http_protocol.ConnectionOptions(),
+        admission or http_listener.FixedAdmission(MAX_CONNECTIONS),
+        table or connection_table.ConnectionTable(),
+    ).run()
 
 
 _STATUS_LINES = {
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -11,8 +11,10 @@
 
 from hickorythread import codec
 from hickorythread import deadlines
+from hickorythread import descriptors
 from hickorythread import events
 from hickorythread import exceptions
+from hickorythread import http_listener
 from hickorythread import interfaces
 from hickorythread import messages
 from hickorythread import readers
@@ -27,6 +29,7 @@
 MAX_MESSAGE_SECONDS = 10.0
 CONNECT_TIMEOUT_SECONDS = 2.0
 ACCEPTS_PER_SECOND = 50.0
+MAX_ACCEPTED_STREAMS = 1024
 RECONNECT_FIRST_SECONDS = 0.1
 RECONNECT_MAX_SECONDS = 5.0
 CLOCK_PROBE_SECONDS = 10.0
@@ -235,6 +238,14 @@
         self.accept_limiter = token_bucket.TokenBucket(
             ACCEPTS_PER_SECOND, ACCEPTS_PER_SECOND, clock.monotonic()
         )
+        self.admission: http_listener.Admission = http_listener.FixedAdmission(
+            MAX_ACCEPTED_STREAMS
+        )
+        # Called when a stream cannot be opened for want of a descriptor.
+        self.on_shortage: Callable[[], None] = lambda: None
+        # The open streams by the side that opened them, the oldest first.
+        self.accepted: dict[Stream, None] = {}
+        self.opened: dict[Stream, None] = {}
         self.listener: Any = None
         self.tasks: list[Any] = []
         self.bytes_sent = collections.Counter[str]()
@@ -336,6 +347,8 @@
 
     def handle_closed(self, stream: Stream, reason: str) -> None:
         """Remove a closed stream and report its host to the handler."""
+        self.accepted.pop(stream, None)
+        self.opened.pop(stream, None)
         if stream.peer is None:
             if stream.expected_host_id:
                 self._connect_failed(stream.expected_host_id, reason)
@@ -377,8 +390,12 @@
         except OSError as error:
             if host_id:
                 self._connect_failed(host_id, f"connect failed: {error}")
+            if descriptors.is_shortage(error):
+                self.on_shortage()
             return
-        self._start(Stream(self, sock, address, host_id))
+        stream = Stream(self, sock, address, host_id)
+        self.opened[stream] = None
+        self._start(stream)
 
     def _connect_failed(self, host_id: str, reason: str) -> None:
         self.pending.pop(host_id, None)
@@ -402,10 +419,32 @@
                 continue
             try:
                 sock, address = self.listener.accept()
-            except OSError:
+            except OSError as error:
+                self.admission.accept_failed(error)
                 eventlet.sleep(RECONNECT_FIRST_SECONDS)
                 continue
-            self._start(Stream(self, sock, f"{address[0]}:{address[1]}"))
+            if not self._make_room():
+                http_listener.close(sock)
+                continue
+            stream = Stream(self, sock, f"{address[0]}:{address[1]}")
+            self.accepted[stream] = None
+            self._start(stream)
+
+    def _make_room(self) -> bool:
+        """Return whether another stream may be accepted.
+
+        At the limit, the stream that has waited longest for its handshake is
+        closed.
+        """
+        if len(self.accepted) < self.admission.limit():
+            return True
+        for stream in self.accepted:
+            if stream.peer is None:
+                self.admission.closed_idle()
+                stream.close("replaced by a newer connection")
+                return True
+        self.admission.refused()
+        return False
 
     def _start(self, stream: Stream) -> None:
         try:
--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -71,3 +71,34 @@
     mesh.wait_until(lambda: count_descriptors(mesh, SOUTH) <= before + 2)
     assert mesh.request(SOUTH, "/two/2")[0] == 200
     assert mesh.processes[SOUTH].poll() is None
+
+
+@pytest.mark.parametrize("listener", LISTENERS)
+def test_flood_at_one_listener_does_not_stop_the_others(mesh, listener):
+    """Guards against one listener that takes the descriptors of all."""
+    restart_limited(mesh, SOUTH)
+    flood = open_flood(mesh, SOUTH, 200, [listener])
+    try:
+        others = set(LISTENERS) - {listener}
+        for _ in range(3):
+            # The streams are accepted at a limited rate.
+            time.sleep(1.0)
+            if "request" in others:
+                assert mesh.request(SOUTH, "/two/1")[0] == 200
+            for name in others & {"readiness", "metrics"}:
+                assert mesh.get(SOUTH, name, "/status")[0] == 200
+        assert (
+            "accept_failures"
+            not in mesh.get(SOUTH, "metrics", "/metrics")[1].decode()
+        )
+    finally:
+        close_all(flood)
+
+
+def test_soft_limit_is_raised_logged_and_shown(mesh):
+    """Guards against a process that stays at a low soft limit."""
+    restart_limited(mesh, SOUTH, LIMIT, 400)
+    assert "descriptors=400" in mesh.read_log(SOUTH)
+    _, text = mesh.get(SOUTH, "metrics", "/metrics")
+    assert b"hickorythread_descriptor_limit 400.0" in text
+    assert b'hickorythread_connections{listener="metrics"} 1.0' in text
