Do not blame the target for a missing descriptor

A process that could not open a socket to its target reported the target as down: all peers and its own clients left a sound target alone, and a run that had been lost before counted as a crash of the target by its request.

With no descriptor left, a real sidecar logged target_paused reason=connect and target_state usable=false reason=target-down after the first request; the new process test failed on that. The failure is now one of its own, no-descriptor: nothing was sent, so another target is asked, the target is not paused, and a probe that failed for it is sent again. Such a failure, at the store or at a stream as well, closes idle connections of clients.

--- a/src/hickorythread/mesh/events.py
+++ b/src/hickorythread/mesh/events.py
@@ -9,6 +9,9 @@
 Record = events.Record
 Log = events.Log
 
+# This process could not open a socket, which says nothing about the target.
+NO_DESCRIPTOR = "no-descriptor"
+
 
 class Request(Record):
     """Hold a client request at its entry node.
@@ -134,8 +137,8 @@
 class Failure(Record):
     """Describe a run without a response.
 
-    kind is "late", "stale" or "connect" if nothing was sent, and "lost",
-    "timeout" or "cancelled" if the request may have run.
+    kind is "late", "stale", "connect" or NO_DESCRIPTOR if nothing was sent,
+    and "lost", "timeout" or "cancelled" if the request may have run.
     """
 
     __slots__ = ("kind", "detail")
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -212,7 +212,7 @@
         self.admission.release_slot()
         kind = failure.kind
         actions: list[events.Record] = []
-        if kind in ("connect", "stale", "late"):
+        if kind in ("connect", "stale", "late", events.NO_DESCRIPTOR):
             actions += self._reply_not_run(run, 503, kind)
         else:
             status = 504 if kind == "timeout" else 502
@@ -230,6 +230,9 @@
     ) -> list[events.Record]:
         """Handle the result of a probe; a response ends the pause."""
         self.probes.running = False
+        if _says_nothing(result):
+            # A later tick sends the next probe.
+            return []
         interrupted_runs, self.interrupted_runs = self.interrupted_runs, []
         actions: list[events.Record] = []
         if isinstance(result, events.Failure):
@@ -617,6 +620,14 @@
         )
 
 
+def _says_nothing(result: events.TargetResponse | events.Failure) -> bool:
+    """Return whether a probe failed for a reason on this side alone."""
+    return (
+        isinstance(result, events.Failure)
+        and result.kind == events.NO_DESCRIPTOR
+    )
+
+
 def _fingerprint(call: messages.Forward) -> bytes:
     """Return the digest that identifies repetitions of a request."""
     return quarantine.fingerprint(
--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -13,6 +13,8 @@
 TARGETS = "targets"
 
 HISTORY_UNAVAILABLE = "history"
+# This process could not open a socket.
+NO_DESCRIPTOR = "no-descriptor"
 
 
 class PutConfiguration(events.Record):
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -121,7 +121,7 @@
             clock,
             random_source,
             self._view_changed,
-            self.telemetry.record_source_call,
+            self._record_source_call,
             self._log,
         )
         self.clients: dict[int, interfaces.Client] = {}
@@ -269,9 +269,7 @@
                 raise
 
     def _count_outgoing(self) -> int:
-        target = self.target
-        running = len(target.active_requests) + len(target.idle)
-        return running + len(self.streams.opened)
+        return self.target.connections + len(self.streams.opened)
 
     # Tasks.
 
@@ -409,6 +407,7 @@
 
     def _run_call(self, action: events.Run) -> None:
         result = self.target.run(action)
+        self._note_shortage(result)
         now = self.clock.monotonic()
         if isinstance(result, events.TargetResponse):
             actions = self.execution.handle_response(
@@ -427,9 +426,24 @@
     def _run_probe(self, action: events.Probe) -> None:
         self.target.drop_idle()
         result = self.target.probe(action.health_path)
+        self._note_shortage(result)
         now = self.clock.monotonic()
         self.perform(self.execution.handle_probe_result(result, now))
 
+    def _note_shortage(
+        self, result: events.TargetResponse | events.Failure
+    ) -> None:
+        if isinstance(result, events.Failure):
+            if result.kind == events.NO_DESCRIPTOR:
+                self.connections.relieve()
+
+    def _record_source_call(
+        self, topic: str, result: interfaces.ReadResult
+    ) -> None:
+        self.telemetry.record_source_call(topic, result)
+        if result.is_error() and result.error.kind == interfaces.NO_DESCRIPTOR:
+            self.connections.relieve()
+
     def _log(self, action: base_events.Log) -> None:
         self.metrics.count(action.event)
         if action.event == "refused":
--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -5,6 +5,7 @@
 
 import urllib3
 
+from hickorythread import descriptors
 from hickorythread import http_client
 from hickorythread import http_requests
 from hickorythread import interfaces as base_interfaces
@@ -82,6 +83,11 @@
         self.idle: list[_TargetConnection] = []
         self.active_requests: dict[int, _ActiveRequest] = {}
 
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open, or being opened."""
+        return len(self.active_requests) + len(self.idle)
+
     def run(
         self, action: events.Run
     ) -> events.TargetResponse | events.Failure:
@@ -111,7 +117,7 @@
         try:
             connection = self._connect()
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return events.Failure("connect", _describe(error))
+            return _connect_failure(error)
         try:
             connection.reader.limit(PROBE_TIMEOUT_SECONDS)
             head = (
@@ -159,7 +165,7 @@
         except _StaleConnectionError:
             return events.Failure("stale")
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            return events.Failure("connect", _describe(error))
+            return _connect_failure(error)
         connection = target_connection.connection
         remaining = action.deadline - self.clock.monotonic()
         if active.cancelled or remaining < MIN_REMAINING_SECONDS:
@@ -276,5 +282,12 @@
     return DEFAULT_IDLE_TIMEOUT_SECONDS
 
 
+def _connect_failure(error: Exception) -> events.Failure:
+    """Return why there is no connection; nothing has been sent."""
+    shortage = descriptors.is_shortage(error)
+    kind = events.NO_DESCRIPTOR if shortage else "connect"
+    return events.Failure(kind, _describe(error))
+
+
 def _describe(error: BaseException) -> str:
     return f"{type(error).__name__}: {error}"[:200]
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -8,6 +8,7 @@
 import expression
 import urllib3
 
+from hickorythread import descriptors
 from hickorythread import http_client
 from hickorythread import http_requests
 from hickorythread import keepalive
@@ -152,8 +153,10 @@
             EOFError,
             ValueError,
         ) as error:
+            shortage = descriptors.is_shortage(error)
             raise _StoreError(
-                "unreachable", f"{type(error).__name__}: {error}"[:200]
+                interfaces.NO_DESCRIPTOR if shortage else "unreachable",
+                f"{type(error).__name__}: {error}"[:200],
             ) from error
         if response.status != 200:
             kind = _FAILURE_KINDS.get(response.status, "refused")
--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -1,5 +1,6 @@
 """Tests of sidecar processes that run out of file descriptors."""
 
+import http.client
 import os
 import resource
 import socket
@@ -102,3 +103,35 @@
     _, text = mesh.get(SOUTH, "metrics", "/metrics")
     assert b"hickorythread_descriptor_limit 400.0" in text
     assert b'hickorythread_connections{listener="metrics"} 1.0' in text
+
+
+def take_descriptors(mesh, host):
+    """Leave a running sidecar no descriptor beyond those that it has."""
+    pid = mesh.processes[host].pid
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, 3))
+
+
+def ask(client, path):
+    """Send a request on a kept connection; return status and body."""
+    client.request("GET", path, headers={"Host": "a.example"})
+    response = client.getresponse()
+    return response.status, response.read()
+
+
+def test_missing_descriptor_says_nothing_about_the_target(mesh):
+    """Guards against a sound target that counts as down for its peers."""
+    client = http.client.HTTPConnection(SOUTH, mesh.ports["request"])
+    assert ask(client, "/two/0")[0] == 200
+    start = len(mesh.read_log(SOUTH))
+    take_descriptors(mesh, SOUTH)
+    # The idle connection to the target ends after a few seconds.
+    mesh.wait_until(lambda: ask(client, "/two/1") == (200, b"i-1 /two/1"))
+    for number in range(2, 6):
+        time.sleep(0.5)
+        path = f"/two/{number}"
+        # Another target answers, since this one was not asked.
+        assert ask(client, path) == (200, f"i-1 {path}".encode())
+    log = mesh.read_log(SOUTH)[start:]
+    assert "reason=no-descriptor" in log
+    assert "usable=false" not in log and "target_paused" not in log
+    assert mesh.processes[SOUTH].poll() is None
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -343,6 +343,24 @@
     assert (reply.outcome, reply.reason) == (messages.NOT_RUN, "target-down")
 
 
+def test_probe_without_a_descriptor_leaves_the_target_as_it_was():
+    """Guards against a target that counts as down, or as crashed by a call."""
+    plane = build.make_execution()
+    plane.call("10.0.0.2", build.make_call(), 0.0)
+    shortage = events.Failure(events.NO_DESCRIPTOR)
+    actions = plane.handle_failure(1, shortage, 0.1)
+    reply = only_reply(actions)
+    assert (reply.outcome, reply.reason) == (messages.NOT_RUN, "no-descriptor")
+    assert not build.of_type(actions, events.Probe)
+    plane.call("10.0.0.2", build.make_call(2), 0.2)
+    plane.handle_failure(2, events.Failure("lost"), 0.3)
+    assert plane.handle_probe_result(shortage, 0.4) == []
+    assert not plane.down
+    assert build.of_type(plane.tick(0.7), events.Probe)
+    plane.handle_probe_result(events.Failure("connect"), 0.8)
+    assert plane.down and plane.quarantine.suspects
+
+
 def test_returned_target_starts_cold():
     """Guards against full load on a target that has just restarted."""
     plane = build.make_execution()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,10 +1,12 @@
 """Tests of the platform adapter: headers, documents and the store."""
 
 import base64
+import errno
 import json
 import pathlib
 import queue
 import re
+import socket
 
 import pytest
 
@@ -152,6 +154,18 @@
     assert client.read(interfaces.OPERATOR).error.kind == "unreachable"
 
 
+def test_missing_descriptor_is_told_apart_from_an_outage(standin, monkeypatch):
+    """Guards against a search for a store that is down although it is not."""
+    client = make_client(standin)
+    monkeypatch.setattr(socket, "socket", fail_without_descriptor)
+    failure = client.read(interfaces.OPERATOR).error
+    assert failure.kind == interfaces.NO_DESCRIPTOR
+
+
+def fail_without_descriptor(*arguments, **options):
+    raise OSError(errno.EMFILE, "Too many open files")
+
+
 def test_operator_topic_holds_configuration_and_evacuations(standin):
     standin.put("op/config", build.make_configuration_document(9))
     standin.put("op/evacuate/hobart", {})
