Split the command line: exit codes, errors, profiles, publishing

cli.py had grown to 907 lines. Where a command finds nodes and the platform is profiles.py now, the way of a patch into the log publishing.py, what a command ends with command_errors.py and exit_codes.py.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -9,15 +9,11 @@
 import sys
 from typing import Any
 
+from hickorythread import command_errors
+from hickorythread import exit_codes
 from hickorythread import output
-
-EXIT_OK = 0
-EXIT_REJECTED = 1
-EXIT_USAGE = 2
-EXIT_ADDRESS_IN_USE = 3
-EXIT_UNREACHABLE = 4
-EXIT_INVARIANT = 5
-EXIT_INTERRUPTED = 130
+from hickorythread import profiles
+from hickorythread import publishing
 
 DESCRIPTION = "Distribute the configuration of a service mesh."
 EXIT_CODES = """exit codes:
@@ -31,17 +27,6 @@
 
 Run `hickorythread COMMAND --help` for the options of a command."""
 
-VERDICT_POLL_SECONDS = 0.2
-
-
-class CommandError(Exception):
-    """Hold the exit code and messages with which a command ends."""
-
-    def __init__(self, code: int, *lines: str) -> None:
-        super().__init__("\n".join(lines))
-        self.code = code
-        self.lines = lines
-
 
 def main(argv: list[str] | None = None) -> int:
     """Run one command and return its exit code."""
@@ -73,21 +58,21 @@
 
     try:
         return call()
-    except CommandError as error:
+    except command_errors.CommandError as error:
         output.print_lines(sys.stderr, error.lines)
         return error.code
     except exceptions.InvariantError as error:
         output.print_lines(sys.stderr, (f"invariant violated: {error}",))
-        return EXIT_INVARIANT
+        return exit_codes.EXIT_INVARIANT
     except BrokenPipeError:
         return _discard_output()
     except KeyboardInterrupt:
-        return EXIT_INTERRUPTED
+        return exit_codes.EXIT_INTERRUPTED
     except Exception:
         # Python exits with 1 on an uncaught exception, which means
         # "rejected" here.
         _print_traceback()
-        return EXIT_INVARIANT
+        return exit_codes.EXIT_INVARIANT
 
 
 def _discard_output() -> int:
@@ -98,7 +83,7 @@
     import os
 
     os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
-    return EXIT_OK
+    return exit_codes.EXIT_OK
 
 
 def _print_traceback() -> None:
@@ -112,7 +97,7 @@
     import signal
 
     def exit_ok(signal_number: int, frame: Any) -> None:
-        raise SystemExit(EXIT_OK)
+        raise SystemExit(exit_codes.EXIT_OK)
 
     signal.signal(signal.SIGTERM, exit_ok)
 
@@ -196,9 +181,9 @@
     """Validate a settings file and pass its settings to a module's run()."""
     import importlib
 
-    result = check(_load(path))
+    result = check(command_errors.load_document(path))
     if result.is_error():
-        raise _usage_error(path, result.error)
+        raise command_errors.usage_error(path, result.error)
     imported = importlib.import_module(module)
     return _run_server(lambda: imported.run(result.ok, *arguments))
 
@@ -245,20 +230,22 @@
     :param format: text or json
     """
     patch = _load_patch(file)
-    options = _read_options(profile, node=node)
+    options = profiles.read_options(profile, node=node)
     if not options.nodes:
         text = f"{file}: no mistakes; not tested on a node, as none was given"
         output.print_result(format, {"accepted": None, "problems": []}, [text])
-        return EXIT_OK
-    response = _call_node(lambda: options.node_client().check_patch(patch))
+        return exit_codes.EXIT_OK
+    response = publishing.call_node(
+        lambda: options.node_client().check_patch(patch)
+    )
     if response.get("accepted"):
         text = f"{patch['id']}: would be accepted"
         output.print_result(format, response, [text])
-        return EXIT_OK
+        return exit_codes.EXIT_OK
     output.print_result(
         format, response, output.rejection_lines(patch["id"], response)
     )
-    return EXIT_REJECTED
+    return exit_codes.EXIT_REJECTED
 
 
 def patch_submit(
@@ -287,8 +274,8 @@
     :param format: text or json
     """
     patch = _load_patch(file)
-    options = _read_options(profile, node, platform, token_file)
-    return _submit(options, patch, timeout, format)
+    options = profiles.read_options(profile, node, platform, token_file)
+    return publishing.submit(options, patch, timeout, format)
 
 
 def patch_show(
@@ -308,9 +295,9 @@
     :param profile: profile file in JSON
     :param format: text or json
     """
-    client = _read_options(profile, node=node).node_client()
-    verdict = _call_node(lambda: client.verdict(id))
-    return _print_verdict(format, id, verdict)
+    client = profiles.read_options(profile, node=node).node_client()
+    verdict = publishing.call_node(lambda: client.verdict(id))
+    return publishing.print_verdict(format, id, verdict)
 
 
 def domain_out(
@@ -337,8 +324,8 @@
     :param timeout: seconds to wait for the verdict
     :param format: text or json
     """
-    options = _read_options(profile, node, platform, token_file)
-    return _set_domain(options, name, "out", timeout, format)
+    options = profiles.read_options(profile, node, platform, token_file)
+    return publishing.set_domain(options, name, "out", timeout, format)
 
 
 def domain_in(
@@ -364,8 +351,8 @@
     :param timeout: seconds to wait for the verdict
     :param format: text or json
     """
-    options = _read_options(profile, node, platform, token_file)
-    return _set_domain(options, name, "in", timeout, format)
+    options = profiles.read_options(profile, node, platform, token_file)
+    return publishing.set_domain(options, name, "in", timeout, format)
 
 
 def status(
@@ -380,10 +367,10 @@
     :param profile: profile file in JSON
     :param format: text or json
     """
-    client = _read_options(profile, node=node).node_client()
-    response = _call_node(client.status)
+    client = profiles.read_options(profile, node=node).node_client()
+    response = publishing.call_node(client.status)
     output.print_result(format, response, output.status_lines(response))
-    return EXIT_OK
+    return exit_codes.EXIT_OK
 
 
 def explain(
@@ -407,15 +394,17 @@
     """
     method, _, path = request.partition(" ")
     if not method.isalpha() or not path.startswith("/") or " " in path:
-        raise CommandError(
-            EXIT_USAGE,
+        raise command_errors.CommandError(
+            exit_codes.EXIT_USAGE,
             f"invalid request {request!r}: expected METHOD and path, for "
             'example "GET /specs/7"',
         )
-    client = _read_options(profile, node=node).node_client()
-    response = _call_node(lambda: client.explain(method.upper(), path, tenant))
+    client = profiles.read_options(profile, node=node).node_client()
+    response = publishing.call_node(
+        lambda: client.explain(method.upper(), path, tenant)
+    )
     output.print_result(format, response, output.flatten(response))
-    return EXIT_OK
+    return exit_codes.EXIT_OK
 
 
 def trace(request: str, *files: str, format: output.Format = "text") -> int:
@@ -432,8 +421,8 @@
 
     log_lines = traces.find_request_lines(_read_lines(files), request)
     if not log_lines:
-        raise CommandError(
-            EXIT_REJECTED,
+        raise command_errors.CommandError(
+            exit_codes.EXIT_REJECTED,
             f"no log line has the request id {request}; a node that exceeds "
             "its log limit drops the lines of successful requests first "
             "(event lines_dropped)",
@@ -442,7 +431,7 @@
     output.print_result(
         format, document, [traces.format_line(line) for line in log_lines]
     )
-    return EXIT_OK
+    return exit_codes.EXIT_OK
 
 
 def _read_lines(files: tuple[str, ...]) -> Iterable[str]:
@@ -453,8 +442,8 @@
             with open(path, encoding="utf-8", errors="replace") as source:
                 yield from source
         except OSError as error:
-            raise CommandError(
-                EXIT_USAGE, f"cannot read {path}: {error.strerror}"
+            raise command_errors.CommandError(
+                exit_codes.EXIT_USAGE, f"cannot read {path}: {error.strerror}"
             ) from error
 
 
@@ -533,7 +522,7 @@
     standins = _import_standins()
     return _run_server(
         lambda: standins.run_caller(
-            entries=",".join(_split_addresses(entry)),
+            entries=",".join(profiles.split_addresses(entry)),
             deployment=deployment,
             rate=rate,
             seconds=seconds,
@@ -565,274 +554,17 @@
 }
 
 
-class _ConnectionOptions:
-    """Hold node and platform addresses and the token file of a command."""
-
-    __slots__ = ("nodes", "platform", "token_file")
-
-    def __init__(
-        self, nodes: list[str], platform: str, token_file: str
-    ) -> None:
-        self.nodes = nodes
-        self.platform = platform
-        self.token_file = token_file
-
-    def node_client(self) -> Any:
-        from hickorythread import client
-
-        if not self.nodes:
-            raise CommandError(
-                EXIT_USAGE,
-                "no node address; give --node IP:port or --profile FILE",
-            )
-        return client.NodeClient(self.nodes)
-
-    def platform_client(self) -> Any:
-        from hickorythread import client
-
-        if not self.platform:
-            raise CommandError(
-                EXIT_USAGE,
-                "no platform address; give --platform IP:port or "
-                "--profile FILE",
-            )
-        return client.PlatformClient(
-            self.platform, _read_token(self.token_file)
-        )
-
-
-def _read_options(
-    profile: str = "", node: str = "", platform: str = "", token_file: str = ""
-) -> _ConnectionOptions:
-    values: dict[str, Any] = {}
-    if profile:
-        values = _load_profile(profile)
-    if node:
-        values["node"] = _split_addresses(node)
-    if platform:
-        values["platform"] = platform
-    if token_file:
-        values["token_file"] = token_file
-    _check_profile("command line" if not profile else profile, values)
-    nodes = values.get("node", [])
-    return _ConnectionOptions(
-        [nodes] if isinstance(nodes, str) else nodes,
-        values.get("platform", ""),
-        values.get("token_file", ""),
-    )
-
-
-def _load_profile(path: str) -> dict[str, Any]:
-    import os
-
-    document = _load(path)
-    _check_profile(path, document)
-    values = dict(document)
-    if "token_file" in values:
-        folder = os.path.dirname(os.path.abspath(path))
-        values["token_file"] = os.path.join(folder, values["token_file"])
-    return values
-
-
-def _check_profile(origin: str, document: Any) -> None:
-    from hickorythread import schemas
-
-    problems = schemas.check("profile", document)
-    if problems:
-        raise _usage_error(origin, problems)
-
-
-def _read_token(path: str) -> str:
-    if not path:
-        raise CommandError(
-            EXIT_USAGE,
-            "no token file; give --token-file FILE or set token_file in the "
-            "profile",
-        )
-    try:
-        with open(path, encoding="ascii") as source:
-            token = source.read().strip()
-    except (OSError, UnicodeDecodeError) as error:
-        reason = getattr(error, "strerror", None) or "not ASCII text"
-        raise CommandError(
-            EXIT_USAGE, f"cannot read the token file {path}: {reason}"
-        ) from error
-    if not token or not token.isprintable() or " " in token:
-        raise CommandError(
-            EXIT_USAGE, f"{path}: expected a bearer token on a single line"
-        )
-    return token
-
-
-def _submit(
-    options: _ConnectionOptions,
-    patch: dict[str, Any],
-    timeout: float,
-    format: output.Format,
-) -> int:
-    node_client = options.node_client()
-    platform_client = options.platform_client()
-    patch_id = patch["id"]
-    existing = _call_node(lambda: node_client.verdict(patch_id))
-    if existing.get("verdict") in ("accepted", "rejected"):
-        raise CommandError(
-            EXIT_REJECTED,
-            f"{patch_id}: not published; the log already has a patch with "
-            f"this id ({existing['verdict']}); choose another id",
-        )
-    check_result = _call_node(lambda: node_client.check_patch(patch))
-    if not check_result.get("accepted"):
-        lines = output.rejection_lines(patch_id, check_result)
-        document = {"id": patch_id, "published": False} | check_result
-        output.print_result(
-            format, document, lines + ["the patch was not published"]
-        )
-        return EXIT_REJECTED
-    entry_sequence = _publish(platform_client, patch)
-    verdict = _wait_for_verdict(node_client, patch_id, entry_sequence, timeout)
-    return _print_verdict(format, patch_id, verdict)
-
-
-def _publish(platform_client: Any, patch: dict[str, Any]) -> int:
-    """Return the log sequence of the published patch, 0 if not reported."""
-    from hickorythread import client
-
-    try:
-        response = platform_client.publish(patch)
-    except client.UnreachableError as error:
-        raise CommandError(
-            EXIT_UNREACHABLE,
-            str(error),
-            "it is not known whether the patch was published; run "
-            f"`hickorythread patch show {patch['id']}` before you submit it "
-            "again",
-        ) from error
-    except client.RefusedError as error:
-        raise CommandError(
-            _exit_code_for(error.status),
-            str(error),
-            "the patch was not published",
-        ) from error
-    sequence = response.get("sequence", 0)
-    return sequence if isinstance(sequence, int) else 0
-
-
-def _exit_code_for(status: int) -> int:
-    if status in (401, 403):
-        return EXIT_USAGE
-    if status == 429:
-        return EXIT_UNREACHABLE
-    return EXIT_REJECTED
-
-
-def _wait_for_verdict(
-    node_client: Any, patch_id: str, sequence: int, timeout: float
-) -> dict[str, Any]:
-    import time
-
-    from hickorythread import client
-
-    deadline = time.monotonic() + timeout
-    while True:
-        reason, code = f"no verdict within {timeout:g} s", EXIT_REJECTED
-        try:
-            verdict: dict[str, Any] = node_client.verdict(patch_id)
-            if _is_verdict_on(verdict, sequence):
-                return verdict
-        except (client.UnreachableError, client.RefusedError) as error:
-            reason, code = str(error), EXIT_UNREACHABLE
-        if time.monotonic() >= deadline:
-            raise CommandError(
-                code,
-                f"{patch_id}: published as entry {sequence}; {reason}",
-                f"run `hickorythread patch show {patch_id}`",
-            )
-        time.sleep(VERDICT_POLL_SECONDS)
-
-
-def _is_verdict_on(verdict: dict[str, Any], sequence: int) -> bool:
-    """Return whether a verdict belongs to the log entry just published.
-
-    A verdict on a lower sequence is about an older patch with the same id.
-    """
-    verdict_sequence = verdict.get("sequence")
-    if isinstance(verdict_sequence, int) and verdict_sequence < sequence:
-        return False
-    return verdict.get("verdict") in ("accepted", "rejected")
-
-
-def _set_domain(
-    options: _ConnectionOptions,
-    name: str,
-    state: str,
-    timeout: float,
-    format: output.Format,
-) -> int:
-    version = _call_node(options.node_client().status).get("version")
-    if not isinstance(version, int):
-        raise CommandError(
-            EXIT_UNREACHABLE, "the node's status has no version"
-        )
-    patch = _domain_patch(name, state, version)
-    from hickorythread import api
-
-    problems = api.check_patch(patch)
-    if problems:
-        raise _usage_error(f"failure domain {name!r}", problems)
-    return _submit(options, patch, timeout, format)
-
-
-def _domain_patch(name: str, state: str, version: int) -> dict[str, Any]:
-    import secrets
-
-    return {
-        "id": f"{state}-{name[:32]}-{version}-{secrets.token_hex(4)}",
-        "base": version,
-        "operations": [
-            {
-                "op": "set_failure_domain_state",
-                "value": {"name": name, "state": state},
-            }
-        ],
-    }
-
-
-def _load(path: str) -> Any:
-    from hickorythread import documents
-
-    loaded = documents.read(path)
-    if loaded.is_error():
-        raise _usage_error(path, loaded.error)
-    return loaded.ok
-
-
 def _load_patch(path: str) -> dict[str, Any]:
     from hickorythread import api
 
-    document = _load(path)
+    document = command_errors.load_document(path)
     problems = api.check_patch(document)
     if problems:
-        raise _usage_error(path, problems)
+        raise command_errors.usage_error(path, problems)
     patch: dict[str, Any] = document
     return patch
 
 
-def _call_node(call: Callable[[], dict[str, Any]]) -> dict[str, Any]:
-    from hickorythread import client
-
-    try:
-        return call()
-    except client.UnreachableError as error:
-        raise CommandError(
-            EXIT_UNREACHABLE,
-            str(error),
-            "check the address and that the node is running, or use "
-            "another node",
-        ) from error
-    except client.RefusedError as error:
-        raise CommandError(_exit_code_for(error.status), str(error)) from error
-
-
 def _import_standins() -> Any:
     import importlib
 
@@ -844,19 +576,19 @@
     import socket
 
     try:
-        return run() or EXIT_OK
+        return run() or exit_codes.EXIT_OK
     except OSError as error:
         if error.errno == errno.EADDRINUSE:
-            raise CommandError(
-                EXIT_ADDRESS_IN_USE,
+            raise command_errors.CommandError(
+                exit_codes.EXIT_ADDRESS_IN_USE,
                 str(error),
                 "stop the process that listens there or choose another "
                 "address",
             ) from error
         unusable = (errno.EADDRNOTAVAIL, errno.EACCES)
         if error.errno in unusable or isinstance(error, socket.gaierror):
-            raise CommandError(
-                EXIT_USAGE,
+            raise command_errors.CommandError(
+                exit_codes.EXIT_USAGE,
                 str(error),
                 "use an address of this host and a port that this user may "
                 "listen on",
@@ -864,16 +596,6 @@
         raise
 
 
-def _split_addresses(addresses: str) -> list[str]:
-    return [part.strip() for part in addresses.split(",") if part.strip()]
-
-
-def _usage_error(origin: str, problems: list[Any]) -> CommandError:
-    return CommandError(
-        EXIT_USAGE, *(f"{origin}: {problem}" for problem in problems)
-    )
-
-
 def _report_check(
     format: output.Format, file: str, kind: str, problems: list[Any]
 ) -> int:
@@ -890,18 +612,4 @@
     output.print_result(
         format, report, lines or [f"{file}: no mistakes ({kind})"]
     )
-    return EXIT_USAGE if problems else EXIT_OK
-
-
-def _print_verdict(
-    format: output.Format, patch_id: str, verdict: dict[str, Any]
-) -> int:
-    kind = verdict.get("verdict", "unknown")
-    if kind == "accepted":
-        lines = [f"{patch_id}: accepted as version {verdict.get('version')}"]
-    elif kind == "rejected":
-        lines = output.rejection_lines(patch_id, verdict)
-    else:
-        lines = [f"{patch_id}: the node has no verdict on this patch"]
-    output.print_result(format, verdict, lines)
-    return EXIT_OK if kind == "accepted" else EXIT_REJECTED
+    return exit_codes.EXIT_USAGE if problems else exit_codes.EXIT_OK
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,6 +10,8 @@
 
 from hickorythread import cli
 from hickorythread import exceptions
+from hickorythread import exit_codes
+from hickorythread import publishing
 from tests import builders
 from tests import fakes
 
@@ -124,7 +126,7 @@
 
 @pytest.fixture(autouse=True)
 def no_poll_delay(monkeypatch):
-    monkeypatch.setattr(cli, "VERDICT_POLL_SECONDS", 0)
+    monkeypatch.setattr(publishing, "VERDICT_POLL_SECONDS", 0)
 
 
 def unused_address():
@@ -155,7 +157,7 @@
 def test_check_names_mistake_and_place(write, capsys, text, expected):
     """Guards against a traceback, or a message without a location."""
     path = write(text)
-    assert cli.main(["check", path]) == cli.EXIT_USAGE
+    assert cli.main(["check", path]) == exit_codes.EXIT_USAGE
     output = capsys.readouterr().out
     assert expected in output
     assert all(line.startswith(path) for line in output.splitlines())
@@ -165,7 +167,7 @@
     """Guards against a decoding error that ends in a traceback."""
     path = tmp_path / "file.json"
     path.write_bytes(b'{"id": "\xff"}')
-    assert cli.main(["check", str(path)]) == cli.EXIT_USAGE
+    assert cli.main(["check", str(path)]) == exit_codes.EXIT_USAGE
     assert "byte 8: the text is not UTF-8" in capsys.readouterr().out
 
 
@@ -173,14 +175,14 @@
 def test_check_reports_file_that_cannot_be_read(tmp_path, capsys, name):
     """Guards against a traceback for a missing file or a directory."""
     path = str(tmp_path / name)
-    assert cli.main(["check", path]) == cli.EXIT_USAGE
+    assert cli.main(["check", path]) == exit_codes.EXIT_USAGE
     assert f"cannot read {path}" in capsys.readouterr().out
 
 
 def test_output_holds_no_control_characters(write, capsys):
     """Guards against terminal control sequences from a document."""
     path = write('{"id": "\\u001b[2J", "base": 1, "\\ud800\\n": 1}')
-    assert cli.main(["check", path]) == cli.EXIT_USAGE
+    assert cli.main(["check", path]) == exit_codes.EXIT_USAGE
     output = capsys.readouterr().out
     assert all(line.isprintable() for line in output.splitlines())
 
@@ -191,7 +193,7 @@
     code = cli.main(["check", path, "--format", "json"])
     answer = json.loads(capsys.readouterr().out)
     paths = {problem["path"] for problem in answer["problems"]}
-    assert code == cli.EXIT_USAGE
+    assert code == exit_codes.EXIT_USAGE
     assert answer["kind"] == "settings"
     assert not answer["valid"]
     assert {"/", "/host_id", "/stream_address"} <= paths
@@ -202,13 +204,13 @@
 )
 def test_check_tells_patch_from_settings(write, capsys, document, kind):
     """Guards against validating a document with the wrong schema."""
-    assert cli.main(["check", write(document)]) == cli.EXIT_OK
+    assert cli.main(["check", write(document)]) == exit_codes.EXIT_OK
     assert f"no mistakes ({kind})" in capsys.readouterr().out
 
 
 def test_submit_publishes_and_reports_verdict(submit, node, platform, capsys):
     """Guards against a patch that is altered or sent without the token."""
-    assert submit() == cli.EXIT_OK
+    assert submit() == exit_codes.EXIT_OK
     assert "p1: accepted as version 8" in capsys.readouterr().out
     [(_, _, body, headers)] = platform.calls("POST", "/v1/log")
     assert body == PATCH
@@ -228,7 +230,7 @@
 def test_rejected_patch_exits_1_with_reasons(submit, node, capsys):
     """Guards against reporting a rejected patch as a success."""
     node.answers["GET /patches/p1"] = [UNKNOWN, REJECTED]
-    assert submit() == cli.EXIT_REJECTED
+    assert submit() == exit_codes.EXIT_REJECTED
     output = capsys.readouterr().out
     assert "p1: rejected (conflict)" in output
     assert "/base: base 3 is not current" in output
@@ -242,7 +244,7 @@
         200,
         {"accepted": False, "kind": "invalid", "problems": []},
     )
-    assert submit("--format", "json") == cli.EXIT_REJECTED
+    assert submit("--format", "json") == exit_codes.EXIT_REJECTED
     assert json.loads(capsys.readouterr().out)["published"] is False
     assert not platform.requests
 
@@ -251,14 +253,14 @@
     """Guards against sending a patch that fails local validation."""
     path = write({"id": "p1", "base": 1, "operations": []}, "bad.json")
     command = ["patch", "submit", path, "--profile", profile]
-    assert cli.main(command) == cli.EXIT_USAGE
+    assert cli.main(command) == exit_codes.EXIT_USAGE
     assert not node.requests + platform.requests
 
 
 def test_known_id_is_not_published_again(submit, node, platform, capsys):
     """Guards against reporting an older patch's verdict for this one."""
     node.answers["GET /patches/p1"] = ACCEPTED
-    assert submit() == cli.EXIT_REJECTED
+    assert submit() == exit_codes.EXIT_REJECTED
     assert "choose another id" in capsys.readouterr().err
     assert not platform.requests
 
@@ -268,14 +270,14 @@
     platform.answers["POST /v1/log"] = (201, {"sequence": 13})
     newer = {"verdict": "accepted", "version": 9, "sequence": 13}
     node.answers["GET /patches/p1"] = [UNKNOWN, REJECTED, (200, newer)]
-    assert submit() == cli.EXIT_OK
+    assert submit() == exit_codes.EXIT_OK
     assert "accepted as version 9" in capsys.readouterr().out
 
 
 def test_missing_verdict_exits_1(submit, node, capsys):
     """Guards against waiting forever or reporting success."""
     node.answers["GET /patches/p1"] = UNKNOWN
-    assert submit("--timeout", "0") == cli.EXIT_REJECTED
+    assert submit("--timeout", "0") == exit_codes.EXIT_REJECTED
     assert "published as entry 12; no verdict" in capsys.readouterr().err
 
 
@@ -283,14 +285,14 @@
     """Guards against not reporting that the patch is already in the log."""
     failure = (503, {"message": "leaving"})
     node.answers["GET /patches/p1"] = [UNKNOWN, failure]
-    assert submit("--timeout", "0") == cli.EXIT_UNREACHABLE
+    assert submit("--timeout", "0") == exit_codes.EXIT_UNREACHABLE
     assert "published as entry 12" in capsys.readouterr().err
 
 
 def test_platform_not_reachable_exits_4(submit, capsys):
     """Guards against reporting that a patch was not published."""
     code = submit("--platform", unused_address())
-    assert code == cli.EXIT_UNREACHABLE
+    assert code == exit_codes.EXIT_UNREACHABLE
     assert "not known whether the patch was" in capsys.readouterr().err
 
 
@@ -300,18 +302,18 @@
 ):
     """Guards against resubmitting a patch that is already in the log."""
     platform.answers["POST /v1/log"] = answer
-    assert submit() == cli.EXIT_UNREACHABLE
+    assert submit() == exit_codes.EXIT_UNREACHABLE
     assert "not known whether the patch was" in capsys.readouterr().err
 
 
 @pytest.mark.parametrize(
     ("status", "code"),
     [
-        (401, cli.EXIT_USAGE),
-        (403, cli.EXIT_USAGE),
-        (409, cli.EXIT_REJECTED),
-        (429, cli.EXIT_UNREACHABLE),
-        (503, cli.EXIT_UNREACHABLE),
+        (401, exit_codes.EXIT_USAGE),
+        (403, exit_codes.EXIT_USAGE),
+        (409, exit_codes.EXIT_REJECTED),
+        (429, exit_codes.EXIT_UNREACHABLE),
+        (503, exit_codes.EXIT_UNREACHABLE),
     ],
 )
 def test_platform_refusal_maps_to_exit_code(submit, platform, status, code):
@@ -326,7 +328,7 @@
 ):
     """Guards against header injection and unauthenticated requests."""
     path = write(token, "other")
-    assert submit("--token-file", path) == cli.EXIT_USAGE
+    assert submit("--token-file", path) == exit_codes.EXIT_USAGE
     assert not platform.requests + node.requests
 
 
@@ -342,20 +344,20 @@
 def test_node_not_reachable_exits_4(command, capsys):
     """Guards against a traceback when the node is down."""
     code = cli.main([*command, "--node", unused_address()])
-    assert code == cli.EXIT_UNREACHABLE
+    assert code == exit_codes.EXIT_UNREACHABLE
     assert "Connection refused" in capsys.readouterr().err
 
 
 def test_next_node_is_asked_when_the_first_is_down(node, capsys):
     """Guards against a command that fails because one node is down."""
     addresses = f"{unused_address()},{node.address}"
-    assert cli.main(["status", "--node", addresses]) == cli.EXIT_OK
+    assert cli.main(["status", "--node", addresses]) == exit_codes.EXIT_OK
 
 
 @pytest.mark.parametrize("command", [["status"], ["domain", "out", "hobart"]])
 def test_missing_node_address_exits_2(command, capsys):
     """Guards against an empty address reaching the HTTP client."""
-    assert cli.main(command) == cli.EXIT_USAGE
+    assert cli.main(command) == exit_codes.EXIT_USAGE
     assert "give --node IP:port or --profile" in capsys.readouterr().err
 
 
@@ -366,7 +368,7 @@
 def test_bad_profile_exits_2(write, document):
     """Guards against silently ignoring a misspelled key."""
     path = write(document)
-    assert cli.main(["status", "--profile", path]) == cli.EXIT_USAGE
+    assert cli.main(["status", "--profile", path]) == exit_codes.EXIT_USAGE
 
 
 @pytest.mark.parametrize("body", [b"[]", b"{", b"[" * 100_000])
@@ -374,7 +376,7 @@
     """Guards against a traceback when another server uses the port."""
     node.answers["GET /status"] = (200, body)
     code = cli.main(["status", "--node", node.address])
-    assert code == cli.EXIT_UNREACHABLE
+    assert code == exit_codes.EXIT_UNREACHABLE
     assert "did not answer with a JSON object" in capsys.readouterr().err
 
 
@@ -384,7 +386,7 @@
     accepted = {"verdict": "accepted", "version": 8, "sequence": 12}
     node.next_response = unknown_until_published(node, (200, accepted))
     command = ["domain", state, "hobart", "--profile", profile]
-    assert cli.main(command) == cli.EXIT_OK
+    assert cli.main(command) == exit_codes.EXIT_OK
     [(_, _, patch, _)] = platform.requests
     assert patch["base"] == 7
     assert patch["operations"] == [builders.domain_state("hobart", state)]
@@ -419,13 +421,13 @@
 def test_domain_name_is_checked_before_publishing(profile, platform):
     """Guards against publishing a patch that every node rejects."""
     command = ["domain", "out", "Hobart", "--profile", profile]
-    assert cli.main(command) == cli.EXIT_USAGE
+    assert cli.main(command) == exit_codes.EXIT_USAGE
     assert not platform.requests
 
 
 def test_status_shows_versions_and_laggards(node, capsys):
     """Guards against a status that does not list lagging hosts."""
-    assert cli.main(["status", "--node", node.address]) == cli.EXIT_OK
+    assert cli.main(["status", "--node", node.address]) == exit_codes.EXIT_OK
     lines = capsys.readouterr().out.splitlines()
     assert lines[0].startswith("spec-desk-1: version 7, digest abababababab")
     assert lines[2].split() == [
@@ -454,7 +456,7 @@
         ["explain", "get /specs/7?a=b&c", "--tenant", "builders"]
         + ["--node", node.address]
     )
-    assert code == cli.EXIT_OK
+    assert code == exit_codes.EXIT_OK
     assert capsys.readouterr().out.splitlines()[:2] == [
         "route: specs",
         "candidates: a, b",
@@ -469,15 +471,15 @@
 def test_malformed_request_exits_2(request_text):
     """Guards against sending a malformed request to a node."""
     command = ["explain", request_text, "--node", "127.0.0.1:1"]
-    assert cli.main(command) == cli.EXIT_USAGE
+    assert cli.main(command) == exit_codes.EXIT_USAGE
 
 
 @pytest.mark.parametrize(
     ("verdict", "code"),
     [
-        (ACCEPTED, cli.EXIT_OK),
-        (REJECTED, cli.EXIT_REJECTED),
-        (UNKNOWN, cli.EXIT_REJECTED),
+        (ACCEPTED, exit_codes.EXIT_OK),
+        (REJECTED, exit_codes.EXIT_REJECTED),
+        (UNKNOWN, exit_codes.EXIT_REJECTED),
     ],
 )
 def test_patch_show_exit_code(node, verdict, code):
@@ -490,7 +492,7 @@
 def test_patch_check_judges_at_node_without_publishing(write, node, capsys):
     """Guards against a check that publishes the patch."""
     path = write(PATCH)
-    assert cli.main(["patch", "check", path]) == cli.EXIT_OK
+    assert cli.main(["patch", "check", path]) == exit_codes.EXIT_OK
     assert not node.requests
     assert cli.main(["patch", "check", path, "--node", node.address]) == 0
     assert [item[:2] for item in node.requests] == [("POST", "/patches/check")]
@@ -525,21 +527,21 @@
 def test_node_refuses_wrong_settings_before_it_runs(run_node, capsys):
     """Guards against a node that starts with invalid settings."""
     code = run_node(raising(AssertionError), {"host_id": "a"})
-    assert code == cli.EXIT_USAGE
+    assert code == exit_codes.EXIT_USAGE
     assert "'region' is a required property" in capsys.readouterr().err
 
 
 @pytest.mark.parametrize(
     ("error", "code"),
     [
-        (OSError(errno.EADDRINUSE, "in use"), cli.EXIT_ADDRESS_IN_USE),
-        (OSError(errno.EADDRNOTAVAIL, "no such"), cli.EXIT_USAGE),
-        (PermissionError(errno.EACCES, "denied"), cli.EXIT_USAGE),
-        (socket.gaierror(-2, "not known"), cli.EXIT_USAGE),
-        (exceptions.InvariantError("moved back"), cli.EXIT_INVARIANT),
-        (ZeroDivisionError(), cli.EXIT_INVARIANT),
-        (OSError(errno.ENOSPC, "full"), cli.EXIT_INVARIANT),
-        (KeyboardInterrupt(), cli.EXIT_INTERRUPTED),
+        (OSError(errno.EADDRINUSE, "in use"), exit_codes.EXIT_ADDRESS_IN_USE),
+        (OSError(errno.EADDRNOTAVAIL, "no such"), exit_codes.EXIT_USAGE),
+        (PermissionError(errno.EACCES, "denied"), exit_codes.EXIT_USAGE),
+        (socket.gaierror(-2, "not known"), exit_codes.EXIT_USAGE),
+        (exceptions.InvariantError("moved back"), exit_codes.EXIT_INVARIANT),
+        (ZeroDivisionError(), exit_codes.EXIT_INVARIANT),
+        (OSError(errno.ENOSPC, "full"), exit_codes.EXIT_INVARIANT),
+        (KeyboardInterrupt(), exit_codes.EXIT_INTERRUPTED),
     ],
 )
 def test_node_failure_maps_to_exit_code(run_node, error, code):
@@ -556,7 +558,7 @@
             first.listen()
             second.bind(first.getsockname())
 
-    assert run_node(run) == cli.EXIT_ADDRESS_IN_USE
+    assert run_node(run) == exit_codes.EXIT_ADDRESS_IN_USE
     assert "choose another address" in capsys.readouterr().err
 
 
@@ -606,7 +608,7 @@
         run_caller=record("caller"),
     )
     monkeypatch.setitem(sys.modules, "hickorythread.standins", module)
-    assert cli.main(["standin", *arguments]) == cli.EXIT_OK
+    assert cli.main(["standin", *arguments]) == exit_codes.EXIT_OK
     assert calls == [(arguments[0], call)]
 
 
@@ -618,7 +620,7 @@
     """Guards against a usage error with the exit code of another failure."""
     with pytest.raises(SystemExit) as raised:
         cli.main(arguments)
-    assert raised.value.code == cli.EXIT_USAGE
+    assert raised.value.code == exit_codes.EXIT_USAGE
     assert "usage: hickorythread" in capsys.readouterr().err
 
 
