--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 SEED ?= 1
 STEPS ?= 200
 SECONDS ?= 120
+HOSTS ?= 4
 
-.PHONY: demo test bench report fuzz soak binary format lint typecheck unit clean
+.PHONY: demo test bench report fuzz soak soak-sidecars binary format lint typecheck unit clean
 
 $(VENV)/.ready: requirements-dev.lock
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -49,6 +50,10 @@
 	$(PY) tools/soak.py --deployment $(DEPLOYMENT) --seed $(SEED) \
 	    --seconds $(SECONDS)
 
+soak-sidecars: $(VENV)/.ready
+	$(PY) tools/soak_sidecars.py --seed $(SEED) --seconds $(SECONDS) \
+	    --hosts $(HOSTS)
+
 binary: $(VENV)/.ready
 	$(PY) tools/build_binary.py
 
--- a/tools/loopback/store_standin.py
+++ b/tools/loopback/store_standin.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's metadata store on a loopback address."""
 
 import base64
+import contextlib
 import http.server
 import json
 import threading
@@ -152,7 +153,8 @@
         if self.server.store.era_text is not None:
             self.send_header("Store-Era", self.server.store.era_text)
         self.end_headers()
-        self.wfile.write(data)
+        with contextlib.suppress(ConnectionError):
+            self.wfile.write(data)
 
     def log_message(self, *arguments):
         """Suppress request logging."""
