Add faults of the store, links and targets to the sidecar soak

The store is down, slow, stale, restarted or restored, or damages its answers; links between a host and the store delay, reset or hold back bytes; targets crash, leave, are slow, silent, full, limited or reset their answers; clients leave half of a body; failure domains are evacuated.

--- a/tools/loopback/faults.py
+++ b/tools/loopback/faults.py
@@ -1,13 +1,26 @@
 """Series of faults from a seed."""
 
 import contextlib
+import os
 import random
 import signal
+import socket
 import time
 
+from tools.loopback import layout
+from tools.loopback import store_standin
+from tools.loopback import target_process
+
 # A signal that arrives while a process starts is a fault of its own.
 START_SECONDS = 2.0
 STOP_SECONDS = 10.0
+DESCRIPTORS = 100
+FLOODED_PORTS = ("request", "readiness", "metrics")
+HALF_BODY_BYTES = 200_000
+HALF_BODY_HEAD = (
+    b"POST /safe/half HTTP/1.1\r\nHost: a.example\r\n"
+    b"Content-Length: 1000000\r\n\r\n"
+)
 
 
 class FaultSeries:
@@ -75,7 +88,12 @@
                 self._replace(host, signal.SIGKILL)
             return bool(hosts)
 
-    def _replace(self, host, number):
+    def _replace(self, host, number, held_port="", early=False, **options):
+        """End the process of a host and start another one.
+
+        held_port names a port that is in use for a while, and early sends
+        signals while the process starts.
+        """
         soak = self.soak
         process = soak.processes.current[host]
         while time.monotonic() - process.started_at < START_SECONDS:
@@ -84,7 +102,21 @@
         process.send(number)
         self._await_end(process)
         self._sleep(0.0, 1.0)
-        soak.processes.start(host)
+        listener = None
+        if held_port:
+            listener = socket.create_server(host.at(held_port))
+        process = soak.processes.start(host, **options)
+        if listener is not None:
+            self._sleep(0.2, 4.0)
+            listener.close()
+        if early:
+            self._sleep(0.0, 1.0)
+            process.send(signal.SIGHUP)
+            if self.random.random() < 0.5:
+                self._sleep(0.0, 0.3)
+                process.send(signal.SIGTERM)
+                self._await_end(process)
+                soak.processes.start(host)
         soak.wait_until_answers(host)
         span.end()
 
@@ -155,6 +187,252 @@
             store.error_status = 0
         return True
 
+    def store_slow(self):
+        """Let the store answer late."""
+        with self.soak.store_fault("store slow") as store:
+            if store is None:
+                return False
+            store.delay_seconds = self.random.uniform(0.3, 2.0)
+            self._sleep(0.5, 5.0)
+            store.delay_seconds = 0.0
+        return True
+
+    def store_stale(self):
+        """Let the store serve an older state."""
+        with self.soak.store_fault("store stale") as store:
+            if store is None:
+                return False
+            store.freeze()
+            self._sleep(0.5, 5.0)
+            store.unfreeze()
+        return True
+
+    def store_broken(self):
+        """Let the responses of the store be damaged or held back."""
+        with self.soak.store_fault("store broken") as store:
+            if store is None:
+                return False
+            store.manner = self.random.choice(store_standin.MANNERS)
+            self._sleep(0.5, 5.0)
+            store.manner = store_standin.WHOLE
+        return True
+
+    def store_restart(self):
+        """Restart the store."""
+        with self.soak.store_fault("store restart") as store:
+            if store is None:
+                return False
+            address = store.stop()
+            self._sleep(0.0, 3.0)
+            store.listen(address)
+        return True
+
+    def store_restore(self):
+        """Let the store go back to an older copy with a higher era."""
+        with self.soak.store_fault("store restore") as store:
+            if store is None:
+                return False
+            copy = store.copy()
+            self._sleep(0.5, 4.0)
+            store.restore(copy, int(store.era_text or 0) + 1)
+            self._sleep(0.2, 2.0)
+            self.soak.writer.write_again(self.soak.targets)
+        return True
+
+    def link_broken(self):
+        """Disturb the link between one host and the store."""
+        host = self.random.choice(self.soak.hosts)
+        link = self.soak.links[host]
+        if not link.fault_lock.acquire(blocking=False):
+            return False
+        span = self.soak.records.begin_span(host, "link")
+        kind = self.random.choice(("delay", "reset", "cut", "silent"))
+        for _ in range(self.random.randint(1, 3)):
+            if kind == "reset":
+                link.reset_all()
+            link.delay_seconds = 0.3 if kind == "delay" else 0.0
+            link.is_cut_back = kind == "cut"
+            link.is_silent = kind == "silent"
+            self._sleep(0.2, 2.0)
+        link.delay_seconds = 0.0
+        link.is_cut_back = link.is_silent = False
+        span.end()
+        link.fault_lock.release()
+        return True
+
+    def evacuate(self):
+        """Evacuate a failure domain for a while."""
+        soak = self.soak
+        domains = soak.layout.failure_domains
+        # A region that has one failure domain keeps it.
+        if len(domains) < 4 or not soak.evacuation_lock.acquire(
+            blocking=False
+        ):
+            return False
+        evacuation = soak.writer.evacuate(self.random.choice(domains))
+        self._sleep(0.5, 9.0)
+        soak.writer.end_evacuation(evacuation)
+        soak.evacuation_lock.release()
+        return True
+
+    @contextlib.contextmanager
+    def _reserve_target(self):
+        """Yield a target for one fault at a time, or None."""
+        soak = self.soak
+        with soak.lock:
+            free = [
+                item for item in soak.targets if item not in soak.busy_targets
+            ]
+            room = max(1, len(soak.targets) // 2) - len(soak.busy_targets)
+            chosen = [self.random.choice(free)] if room > 0 else []
+            soak.busy_targets.update(chosen)
+        try:
+            yield next(iter(chosen), None)
+        finally:
+            with soak.lock:
+                soak.busy_targets.difference_update(chosen)
+
+    def target_crash(self):
+        """End a target without a word; it comes back as another process."""
+        with self._reserve_target() as target:
+            if target is None:
+                return False
+            instance = target.instance
+            target.stop()
+            self._sleep(0.5, 3.0)
+            target.start()
+            self.soak.writer.register(target)
+            self._sleep(0.0, 1.0)
+            self.soak.writer.remove(instance)
+        return True
+
+    def target_leave(self):
+        """Let a target leave as planned and start again."""
+        with self._reserve_target() as target:
+            if target is None:
+                return False
+            writer = self.soak.writer
+            instance = target.instance
+            target.faults.is_leaving = self.random.random() < 0.5
+            is_announced = self.random.random() < 0.7
+            if is_announced:
+                writer.register(target, "draining")
+            else:
+                writer.remove(instance)
+            self._sleep(2.2, 5.0)
+            target.stop()
+            if is_announced:
+                writer.remove(instance)
+            self._sleep(0.5, 2.0)
+            target.start()
+            writer.register(target)
+        return True
+
+    def target_faulty(self):
+        """Let a target be slow, silent, full, limited or reset its answers."""
+        with self._reserve_target() as target:
+            if target is None:
+                return False
+            shown = target.faults
+            kind = self.random.choice(
+                ("slow", "silent", "full", "limit", "reset")
+            )
+            shown.delay_seconds = 0.5 if kind == "slow" else 0.0
+            shown.is_silent = kind == "silent"
+            shown.is_full = kind == "full"
+            shown.rate_limit = 5.0 if kind == "limit" else 0.0
+            shown.reset_share = 0.3 if kind == "reset" else 0.0
+            self._sleep(0.3, 4.0)
+            target.faults = target_process.TargetFaults()
+        return True
+
+    def half_bodies(self):
+        """Let some clients send half of a body and go away."""
+        host = self.random.choice(self.soak.hosts)
+        clients = clients_of_half_bodies(host, self.random.randint(5, 40))
+        self._sleep(0.2, 3.0)
+        for client in clients:
+            client.close()
+        return True
+
+    def few_descriptors(self):
+        """Run a process with few descriptors while connections come."""
+        command = ["sh", "-c", f'ulimit -n {DESCRIPTORS}; exec "$@"', "sh"]
+        return self._run_changed(self._flood, prefix=command)
+
+    def _flood(self, host):
+        """Open more connections than a process has descriptors."""
+        clients = []
+        for _ in range(3 * DESCRIPTORS):
+            port_name = self.random.choice(FLOODED_PORTS)
+            with contextlib.suppress(OSError):
+                clients.append(
+                    socket.create_connection(host.at(port_name), 0.2)
+                )
+        self._sleep(0.5, 3.0)
+        for client in clients:
+            client.close()
+
+    def closed_output(self):
+        """Run a process whose standard output has lost its reader."""
+        reader, writer = os.pipe()
+        os.close(reader)
+        return self._run_with_output(writer)
+
+    def unread_output(self):
+        """Run a process whose standard output is not read."""
+        reader, writer = os.pipe()
+        try:
+            return self._run_with_output(writer)
+        finally:
+            os.close(reader)
+
+    def _run_with_output(self, descriptor):
+        try:
+            return self._run_changed(
+                lambda host: self._sleep(1.0, 5.0), stdout=descriptor
+            )
+        finally:
+            os.close(descriptor)
+
+    def _run_changed(self, during, **options):
+        """Replace a process by one that is started with other options."""
+        soak = self.soak
+        with self._reserve_hosts() as hosts:
+            for host in hosts:
+                self._replace(host, signal.SIGTERM, **options)
+                during(host)
+                if soak.processes.current[host].is_running:
+                    self._replace(host, signal.SIGTERM)
+            return bool(hosts)
+
+    def port_in_use(self):
+        """Hold a port of a sidecar while it starts."""
+        with self._reserve_hosts() as hosts:
+            for host in hosts:
+                port_name = self.random.choice(layout.SIDECAR_PORT_NAMES)
+                self._replace(host, signal.SIGTERM, held_port=port_name)
+            return bool(hosts)
+
+    def early_signal(self):
+        """Send signals to a process that starts."""
+        with self._reserve_hosts() as hosts:
+            for host in hosts:
+                self._replace(host, signal.SIGTERM, early=True)
+            return bool(hosts)
+
+
+def clients_of_half_bodies(host, count):
+    """Return connections that have sent half of a large body each."""
+    clients = []
+    for _ in range(count):
+        with contextlib.suppress(OSError):
+            client = socket.create_connection(host.at("request"), 1.0)
+            clients.append(client)
+            client.settimeout(0.2)
+            client.sendall(HALF_BODY_HEAD + bytes(HALF_BODY_BYTES))
+    return clients
+
 
 KINDS = (
     "terminate",
@@ -162,7 +440,24 @@
     "freeze",
     "reload",
     "configure",
+    "evacuate",
     "store_down",
+    "store_slow",
+    "store_stale",
+    "store_broken",
+    "store_restart",
+    "store_restore",
+    "link_broken",
+    "target_crash",
+    "target_leave",
+    "target_faulty",
+    "half_bodies",
+)
+# Faults of issue 33 that main does not withstand yet.
+OPEN_KINDS = (
+    "few_descriptors",
+    "closed_output",
+    "unread_output",
+    "port_in_use",
+    "early_signal",
 )
-# Faults that the present code does not survive, with their issue.
-OPEN_KINDS = ()
--- a/tools/loopback/sidecar_process.py
+++ b/tools/loopback/sidecar_process.py
@@ -62,10 +62,10 @@
 class Processes:
     """Start sidecars and note when and how each process ends."""
 
-    def __init__(self, layout, folder, source_address, program_root=ROOT):
+    def __init__(self, layout, folder, source_addresses, program_root=ROOT):
         self.layout = layout
         self.folder = folder
-        self.source_address = source_address
+        self.source_addresses = source_addresses
         self.program_root = program_root
         self.started = []
         self.current = {}
@@ -90,7 +90,7 @@
             "readiness_address": "{}:{}".format(*host.at("readiness")),
             "stream_port": host.ports["stream"],
             "metrics_port": host.ports["metrics"],
-            "source_address": self.source_address,
+            "source_address": self.source_addresses[host],
             "grace_seconds": GRACE_SECONDS,
             "retry_share": 0.2,
             "retry_slack": 60,
@@ -105,10 +105,14 @@
         text = json.dumps(self.settings[host])
         self.settings_path(host).write_text(text, "utf-8")
 
-    def start(self, host, **options):
-        """Start the sidecar of a host; options go to subprocess.Popen."""
+    def start(self, host, prefix=(), **options):
+        """Start the sidecar of a host by a command with a prefix.
+
+        options go to subprocess.Popen.
+        """
         self.write_settings(host)
         command = [
+            *prefix,
             sys.executable,
             "-W",
             "ignore",
--- a/tools/loopback/soak.py
+++ b/tools/loopback/soak.py
@@ -11,6 +11,7 @@
 from tools.loopback import faults
 from tools.loopback import layout
 from tools.loopback import oracle
+from tools.loopback import proxy
 from tools.loopback import records
 from tools.loopback import sidecar_process
 from tools.loopback import store_standin
@@ -48,6 +49,10 @@
         self.hosts = list(self.layout.hosts.values())
         self.store = store_standin.Store()
         self.store_lock = threading.Lock()
+        self.evacuation_lock = threading.Lock()
+        self.busy_targets = set()
+        store_address = self.store.server.server_address
+        self.links = {host: proxy.Proxy(store_address) for host in self.hosts}
         self.writer = writers.Operator(
             self.store, self.layout, random.Random(f"{seed}-writer")
         )
@@ -58,7 +63,10 @@
         for target in self.targets:
             self.writer.register(target)
         self.processes = sidecar_process.Processes(
-            self.layout, folder, self.store.address, program_root
+            self.layout,
+            folder,
+            {host: link.address for host, link in self.links.items()},
+            program_root,
         )
         self.load = callers.Load(
             self.processes, self.writer, self.records, seed
@@ -142,6 +150,8 @@
     def _close_stand_ins(self):
         for target in self.targets:
             target.stop()
+        for link in self.links.values():
+            link.close()
         self.store.close()
         self.lag_monitor.stopped.set()
 
--- a/tools/loopback/target_process.py
+++ b/tools/loopback/target_process.py
@@ -128,7 +128,7 @@
         if message is None:
             return False
         self._wait_while_silent(instance)
-        if self.instance != instance or self.listener is None:
+        if self._has_ended(instance):
             return False
         if message.path == "/healthz":
             status = 503 if self.faults.is_leaving else 200
@@ -146,6 +146,9 @@
         finally:
             slots.release()
 
+    def _has_ended(self, instance):
+        return self.instance != instance or self.listener is None
+
     def _wait_while_silent(self, instance):
         while self.faults.is_silent and self.instance == instance:
             time.sleep(0.05)
@@ -158,7 +161,7 @@
         self.records.add_run(run)
         try:
             time.sleep(int(work_ms) / 1000 + self.faults.delay_seconds)
-            if self.instance != instance or self.listener is None:
+            if self._has_ended(instance):
                 run.broken_off = True
                 return False
             answer = http_messages.make_body(run.request_id, int(size))
@@ -169,7 +172,7 @@
             self._wait_while_silent(instance)
             return self._respond(connection, message, instance, 200, answer)
         except OSError:
-            run.broken_off = run.broken_off or self.listener is None
+            run.broken_off = run.broken_off or self._has_ended(instance)
             raise
         finally:
             run.ended_at = time.monotonic()
@@ -194,6 +197,7 @@
         if faults.rate_limit:
             headers.append(("Server-Limit", faults.rate_limit))
         if faults.is_leaving:
+            headers.append(("Server-Leaving", "1"))
             headers.append(("Connection", "close"))
         head = http_messages.make_head(f"HTTP/1.1 {status} Text", headers)
         connection.sendall(head + body)
