--- a/src/hickorythread/mesh/settings.py
+++ b/src/hickorythread/mesh/settings.py
@@ -8,6 +8,8 @@
 from hickorythread import exceptions
 from hickorythread import schemas
 
+DEFAULT_MEMORY_MB = 256.0
+
 
 class Settings:
     """Hold the validated settings of one sidecar.
@@ -18,7 +20,8 @@
     retry_slack requests, in any retry_window_seconds. A cold target may
     receive, in any second, warmup_rate_factor times its warm-up rate, plus
     warmup_burst requests. The removal of a target must be in force within
-    removal_ms.
+    removal_ms. The process is ended from outside if it uses more than
+    memory_mb MiB.
     """
 
     __slots__ = (
@@ -40,6 +43,7 @@
         "warmup_rate_factor",
         "warmup_burst",
         "removal_ms",
+        "memory_mb",
         "log_level",
     )
 
@@ -62,6 +66,7 @@
         warmup_rate_factor: float = 1.0,
         warmup_burst: float = 2.0,
         removal_ms: float = 2000.0,
+        memory_mb: float = DEFAULT_MEMORY_MB,
         name: str = "",
         log_level: str = "info",
     ) -> None:
@@ -83,6 +88,7 @@
         self.warmup_rate_factor = warmup_rate_factor
         self.warmup_burst = warmup_burst
         self.removal_ms = removal_ms
+        self.memory_mb = memory_mb
         self.log_level = log_level
 
     @property
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -289,6 +289,7 @@
         "bounds.warmup_overage": "1.5",
         "bounds.warmup_slack": "5",
         "bounds.drain_ms": "2000",
+        "limits.memory_mb": "300",
     }
     rendered = re.sub(r"\{\{(.*?)\}\}", lambda m: values[m[1]], text)
     result = settings.Settings.from_config(json.loads(rendered))
--- a/tools/loopback/target.py
+++ b/tools/loopback/target.py
@@ -15,6 +15,8 @@
         self.instance = instance
         self.runs = []
         self.delay_seconds = 0.0
+        # Appended to the answers of requests, but not of probes.
+        self.padding = b""
         self.release = threading.Event()
         self.release.set()
         target = self
@@ -35,7 +37,8 @@
                 target.runs.append((self.path, dict(self.headers), body))
                 target.release.wait(WAIT_SECONDS)
                 time.sleep(target.delay_seconds)
-                self.answer(200, f"{target.instance} {self.path}".encode())
+                body = f"{target.instance} {self.path}".encode()
+                self.answer(200, body + target.padding)
 
             do_GET = do_POST = handle_any
 
