Keep a small buffer for each stream

Callers saw nothing yet: each stream kept a buffer of 1 MiB for good, one that had carried a large message up to 2 MiB, and a stranger could fill 2 MiB before its first message was complete. With 70 peers that is most of the memory of a host, and a process that passes its limit is ended with all requests in hand.

The unpacker of msgpack takes 1 MiB if no size is named, writes through all of it before it starts again, and never becomes smaller. It gets 64 KiB now and is replaced once a larger message is complete. A Hello may take 16 KiB.

--- a/src/hickorythread/codec.py
+++ b/src/hickorythread/codec.py
@@ -12,6 +12,8 @@
 CODEC_VERSION = 1
 MAX_MESSAGE_BYTES = 2 * 1024 * 1024
 MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
+# The buffer of a stream. Without a size, msgpack takes 1 MiB for each.
+UNPACKER_BYTES = 64 * 1024
 HEADER_FIELD_COUNT = 3
 COMPRESSION_LEVEL = 3
 
@@ -38,17 +40,26 @@
 class Decoder:
     """Decode the messages of one stream incrementally."""
 
-    __slots__ = ("unpacker", "failed", "fed_bytes", "decoded_bytes")
+    __slots__ = (
+        "unpacker",
+        "failed",
+        "fed_bytes",
+        "decoded_bytes",
+        "has_grown",
+    )
 
     def __init__(self) -> None:
-        self.unpacker = msgpack.Unpacker(
-            raw=False,
-            max_buffer_size=MAX_MESSAGE_BYTES,
-            strict_map_key=True,
-        )
+        self.unpacker = _make_unpacker()
         self.failed = False
         self.fed_bytes = 0
         self.decoded_bytes = 0
+        # Whether the buffer of the unpacker has become larger.
+        self.has_grown = False
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Return how many bytes wait for the end of their message."""
+        return self.fed_bytes - self.decoded_bytes
 
     @property
     def incomplete(self) -> bool:
@@ -67,6 +78,20 @@
             self.fed_bytes += len(data)
         except msgpack.BufferFull:
             return [self._fail("oversized", "message exceeds the size limit")]
+        self.has_grown |= self.incomplete_bytes > UNPACKER_BYTES
+        decoded = self._decode()
+        if self.has_grown and not self.incomplete:
+            self._shrink()
+        return decoded
+
+    def _shrink(self) -> None:
+        """Replace the unpacker, whose buffer never becomes smaller."""
+        self.unpacker = _make_unpacker()
+        self.fed_bytes = self.decoded_bytes = 0
+        self.has_grown = False
+
+    def _decode(self) -> list[DecodeResult]:
+        """Return the messages that are complete."""
         decoded: list[DecodeResult] = []
         while not self.failed:
             try:
@@ -89,6 +114,15 @@
         return expression.Error(error)
 
 
+def _make_unpacker() -> msgpack.Unpacker:
+    return msgpack.Unpacker(
+        raw=False,
+        max_buffer_size=MAX_MESSAGE_BYTES,
+        read_size=UNPACKER_BYTES,
+        strict_map_key=True,
+    )
+
+
 def pack(value: Any) -> bytes:
     """Serialize a value without compression."""
     return bytes(msgpack.packb(value, use_bin_type=True))
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -22,6 +22,8 @@
 READ_BYTES = 64 * 1024
 MAX_SEND_QUEUE_BYTES = 8 * 1024 * 1024
 MAX_PENDING_MESSAGES = 512
+# What a peer may send before its first message, a Hello, is complete.
+MAX_HELLO_BYTES = 16 * 1024
 HANDSHAKE_TIMEOUT_SECONDS = 5.0
 # A peer that never completes a message must not count as responsive.
 MAX_MESSAGE_SECONDS = 10.0
@@ -174,6 +176,11 @@
                 results = self.decoder.feed(data)
                 for result in results:
                     self.manager.handle_decoded(self, result)
+                if self._hello_too_large():
+                    reason = "handshake is too large"
+                    error = exceptions.DecodeError("oversized", reason, True)
+                    self.manager.handler.message_refused(self.address, error)
+                    break
                 if self._message_overdue(bool(results)):
                     reason = "message takes too long"
                     break
@@ -185,6 +192,12 @@
             reason = f"read failed: {error.strerror}"
         self.close(reason)
 
+    def _hello_too_large(self) -> bool:
+        """Return whether an unknown peer fills the buffer."""
+        if self.peer is not None:
+            return False
+        return self.decoder.incomplete_bytes > MAX_HELLO_BYTES
+
     def _message_overdue(self, progressed: bool) -> bool:
         """Return whether the end of a message is missing for too long.
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -55,3 +55,16 @@
     results = decoder.feed(data)
     assert results[-1].error.fatal
     assert decoder.feed(b"\x01") == []
+
+
+def test_buffer_shrinks_after_a_large_message():
+    """Guards against every stream keeping a buffer of 2 MiB for good."""
+    decoder = codec.Decoder()
+    large = codec.encode(messages.PushAck(1, 1), 0)
+    large = msgpack.packb([*msgpack.unpackb(large), b"x" * 1_000_000])
+    for start in range(0, len(large), 65536):
+        results = decoder.feed(large[start : start + 65536])
+    assert results[0].is_ok() and not decoder.has_grown
+    assert not decoder.incomplete
+    assert decoder.feed(large[:100]) == [] and decoder.incomplete
+    assert decoder.feed(large[100:])[0].is_ok()
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -4,6 +4,7 @@
 import socket
 import time
 
+import msgpack
 import pytest
 
 from hickorythread import codec
@@ -199,8 +200,31 @@
             sock.sendall(codec.encode(hello, 0))
         for sock in peers:
             sock.sendall(ignored * 400)
+        # The last messages may still be in the buffers of the sockets.
+        time.sleep(2.0)
         mesh.wait_until(lambda: mesh.is_ready(SOUTH))
         assert read_memory(mesh, SOUTH, "VmRSS") < before + 15
     finally:
         for sock in peers:
             sock.close()
+
+
+def test_unfinished_handshakes_keep_little_memory(mesh):
+    """Guards against strangers that fill the memory with a long Hello."""
+    start = msgpack.packb([codec.CODEC_VERSION, 1, 0])[:-1] + b"\xc6\0\x1e\0\0"
+    peers = []
+    before = read_memory(mesh, SOUTH)
+    try:
+        for _ in range(40):
+            sock = socket.create_connection((SOUTH, mesh.ports["stream"]))
+            peers.append(sock)
+            try:
+                sock.sendall(start + b"a" * BODY_BYTES)
+            except OSError:
+                # Closed by the sidecar.
+                pass
+        assert mesh.is_ready(SOUTH)
+        assert read_memory(mesh, SOUTH) < before + 15
+    finally:
+        for sock in peers:
+            sock.close()
