Drop and count log lines that cannot be written

Callers saw connections close without an answer: a sidecar ended with 5 once the reader of its standard output had gone or the disk below it was full. It stopped altogether, until its supervisor killed it, when nobody read its standard output and events beside the decisions filled the pipe: only decisions looked whether a write would block. With standard output closed at the start, the descriptor of the event loop became 1 and 2.

A stream of our own now takes the place of both standard streams. It writes without waiting, keeps lines while a pipe is full and drops them when a write fails; metric and line tell how many. It bypasses the write that eventlet patches, which waits forever on EPIPE.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -9,6 +9,7 @@
 import sys
 from typing import Any
 
+from hickorythread import log_stream
 from hickorythread import output
 
 EXIT_OK = 0
@@ -48,6 +49,7 @@
     arguments = sys.argv[1:] if argv is None else argv
     if arguments[:1] in (["node"], ["sidecar"]):
         _exit_on_sigterm()
+        log_stream.open_missing_descriptors()
     if arguments[:1] in (["node"], ["sidecar"], ["standin"]):
         # A sidecar has no locks that tasks wait for.
         _patch_standard_library(locks=arguments[0] != "sidecar")
@@ -130,12 +132,8 @@
     # takes 12 MB of memory, and the binary is built without it.
     os.environ["EVENTLET_NO_GREENDNS"] = "yes"
     warnings.filterwarnings("ignore", message="\\nEventlet is deprecated")
-    # `logs` needs the unpatched select and takes a reference on import, so
-    # it is imported before monkey_patch().
     import eventlet
 
-    from hickorythread import logs  # noqa: F401
-
     eventlet.monkey_patch(thread=locks)
 
 
@@ -182,6 +180,8 @@
     """
     from hickorythread.mesh import settings as settings_module
 
+    log_stream.guard_standard_streams()
+
     return _run_process(
         settings,
         settings_module.Settings.from_config,
--- a/src/hickorythread/logs.py
+++ b/src/hickorythread/logs.py
@@ -8,7 +8,6 @@
 import json
 import logging as standard_logging
 import re
-import select
 import sys
 import time
 from typing import Any
@@ -16,10 +15,9 @@
 
 from absl import logging
 
+from hickorythread import log_stream
+
 MAX_BUFFERED_DECISIONS = 4096
-# A pipe that select() reports as writable accepts at least this many bytes
-# without blocking.
-MAX_WRITE_BYTES = 4096
 MAX_VALUE_LENGTH = 200
 LEVELS = {
     "debug": standard_logging.DEBUG,
@@ -29,9 +27,6 @@
 }
 # The content of requests belongs to the callers and must not be logged.
 _CONTENT_KEYS = frozenset(("body", "header", "headers", "data", "content"))
-# Saved before eventlet patches the standard library (see cli.py): the patched
-# select would suspend the task instead of returning at once.
-_unpatched_select = select.select
 _UNQUOTED = re.compile(r"[A-Za-z0-9_./:~@+,-]+")
 
 
@@ -136,7 +131,8 @@
         """Write up to limit buffered lines and return their number.
 
         Lines stay in the buffer while a write would block, so that a stalled
-        reader of the log cannot stop the process.
+        reader of the log cannot stop the process. Lines that the stream
+        refuses count as written here; see dropped_lines().
         """
         written = 0
         while written < limit and self._buffer and _is_writable(stream):
@@ -145,7 +141,7 @@
             while self._buffer and written + len(lines) < limit:
                 line = self._format(*self._buffer[0])
                 size += len(line)
-                if lines and size > MAX_WRITE_BYTES:
+                if lines and size > log_stream.MAX_WRITE_BYTES:
                     break
                 lines.append(line)
                 self._buffer.popleft()
@@ -258,9 +254,18 @@
         logger.log(level, "%s", event, extra={"pairs": pairs})
 
 
+def dropped_lines(stream: TextIO | None) -> int:
+    """Return how many lines a stream has dropped since the start."""
+    if isinstance(stream, log_stream.LogStream):
+        return stream.dropped
+    return 0
+
+
 def _is_writable(stream: TextIO) -> bool:
+    if isinstance(stream, log_stream.LogStream):
+        return stream.is_idle()
     try:
-        file_descriptor = stream.fileno()
+        descriptor = stream.fileno()
     except (OSError, ValueError):
         return True
-    return bool(_unpatched_select([], [file_descriptor], [], 0)[1])
+    return log_stream.accepts_write(descriptor)
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -295,13 +295,17 @@
 
     def _report_dropped(self) -> None:
         """Log how many lines were dropped, at most once per second."""
-        dropped = self.decisions.dropped
+        dropped = self._dropped_lines()
         now = self.clock.monotonic()
         if dropped > self.reported_dropped and now >= self.next_drop_report_at:
             self.next_drop_report_at = now + 1.0
             self.reported_dropped = dropped
             logs.warning("lines_dropped", total=dropped)
 
+    def _dropped_lines(self) -> int:
+        """Return how many log lines exceeded a limit or were not written."""
+        return self.decisions.dropped + logs.dropped_lines(sys.stdout)
+
     # View changes.
 
     def _view_changed(self, previously_evacuated: frozenset[str]) -> None:
@@ -540,6 +544,7 @@
 
     def render_metrics(self) -> bytes:
         """Return counters, gauges and durations as Prometheus text."""
+        self.metrics.set("log_lines_dropped", self._dropped_lines())
         return self.telemetry.render(
             self.entry,
             self.execution,
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -1,6 +1,8 @@
 """Tests that a sidecar process does not end by itself, or says why."""
 
 import os
+import resource
+import select
 import signal
 import socket
 import time
@@ -11,6 +13,9 @@
 
 NORTH, SOUTH = sidecars.HOSTS
 REQUESTS = 50
+# Each writes a line, together more than the rest of a full pipe.
+SIGNALS = 100
+MAX_LOG_BYTES = 400
 
 
 @pytest.fixture(scope="module")
@@ -64,6 +69,13 @@
         assert_serves_and_stops(mesh, process)
 
 
+def fill_pipe(mesh, writer):
+    """Send requests; return whether their log lines have filled a pipe."""
+    for number in range(REQUESTS):
+        mesh.request(SOUTH, f"/two/pipe-{number}")
+    return not select.select([], [writer], [], 0)[1]
+
+
 def take_address(mesh, port):
     """Return a socket that listens where the sidecar of SOUTH would."""
     stop(mesh)
@@ -84,3 +96,66 @@
     mesh.wait_until(lambda: mesh.is_ready(SOUTH))
     assert mesh.request(SOUTH, "/two/port")[0] == 200
     assert "address_in_use" in mesh.read_log(SOUTH)
+
+
+def test_events_beside_a_full_pipe_do_not_stop_the_process(mesh):
+    """Guards against a process that waits for the reader of its log."""
+    reader, writer = os.pipe()
+    process = restart(mesh, stdout=writer)
+    mesh.wait_until(lambda: fill_pipe(mesh, writer))
+    for _ in range(SIGNALS):
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.03)
+    assert mesh.request(SOUTH, "/two/pipe")[0] == 200
+    os.close(writer)
+    os.close(reader)
+    assert_serves_and_stops(mesh, process)
+
+
+def test_closed_standard_streams_do_not_end_the_process(mesh):
+    """Guards against log lines written to a socket, or to no stream."""
+
+    def close_standard_streams():
+        for descriptor in (0, 1, 2):
+            os.close(descriptor)
+
+    process = restart(mesh, preexec_fn=close_standard_streams)
+    for descriptor in (0, 1, 2):
+        link = os.readlink(f"/proc/{process.pid}/fd/{descriptor}")
+        assert link == os.devnull
+    assert_serves_and_stops(mesh, process)
+
+
+def test_dropped_lines_are_reported_once_writing_works_again(mesh):
+    """Guards against a gap in the log that nobody is told of."""
+    path = mesh.folder / "limited.log"
+    with open(path, "ab") as log:
+        process = restart(mesh, stdout=log, preexec_fn=limit_file_size)
+    mesh.request(SOUTH, "/two/dropped")
+    mesh.wait_until(lambda: read_dropped(mesh) > 0)
+    assert process.poll() is None
+    assert "lines_dropped" not in path.read_text("utf-8")
+
+    def make_room():
+        """Empty the log unless it has the report."""
+        found = "event=lines_dropped" in path.read_text("utf-8")
+        if not found:
+            path.write_bytes(b"")
+            time.sleep(1.0)
+        return found
+
+    mesh.wait_until(make_room)
+
+
+def limit_file_size():
+    """Limit the size of the log, which takes the part of a full disk."""
+    _, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
+    resource.setrlimit(resource.RLIMIT_FSIZE, (MAX_LOG_BYTES, hard))
+
+
+def read_dropped(mesh):
+    """Return the metric of the log lines that were dropped."""
+    name = "hickorythread_log_lines_dropped "
+    _, text = mesh.get(SOUTH, "metrics", "/metrics")
+    (line,) = [x for x in text.decode().splitlines() if x.startswith(name)]
+    return float(line.removeprefix(name))
