Let the callers of the soak idle, send chunks and choose deadlines

Each fault series draws from a group of its own, so that signals, changes and target faults overlap.

--- a/tools/loopback/callers.py
+++ b/tools/loopback/callers.py
@@ -9,13 +9,18 @@
 
 from tools.loopback import http_messages
 from tools.loopback import records
+from tools.loopback import writers
 
-DEADLINE_SECONDS = 3.0
+DEADLINES_MS = (400, 1000, 3000, 3000)
+# Long work is rare, and lasts while a stop ends.
+WORK_MS = (1, 5, 20, 80) * 6 + (1200,)
 # An answer is awaited for longer than any process can be stopped.
 ANSWER_SECONDS = 20.0
 CONNECT_SECONDS = 5.0
 RETRY_SECONDS = 0.1
 LARGE_BYTES = 300_000
+# Part of the idle limit for which clients may leave a connection idle.
+IDLE_FRACTION = 0.8
 
 
 class Connection:
@@ -30,15 +35,18 @@
         self.socket.settimeout(ANSWER_SECONDS)
         self.reader = self.socket.makefile("rb")
 
-    def send(self, request, pause_seconds=0.0):
+    def send(self, request, pause_seconds=0.0, is_chunked=False):
         """Send a request; return whether all of it was written."""
         body = http_messages.make_body(request.id, request.body_size)
         headers = [
             ("Host", "a.example"),
             (http_messages.REQUEST_ID, request.id),
-            ("Hickorythread-Deadline-Ms", int(DEADLINE_SECONDS * 1000)),
+            ("Hickorythread-Deadline-Ms", request.deadline_ms),
         ]
-        if body:
+        if is_chunked:
+            headers.append(("Transfer-Encoding", "chunked"))
+            body = http_messages.make_chunks(body)
+        elif body:
             headers.append(("Content-Length", len(body)))
         head = http_messages.make_head(
             f"{request.method} {request.path} HTTP/1.1", headers
@@ -163,7 +171,8 @@
             self.random.choice((0, 20, 2000))
             if answer_size is None
             else answer_size,
-            self.random.choice((1, 5, 20, 80)),
+            self.random.choice(WORK_MS),
+            self.random.choice(DEADLINES_MS),
         )
         self.load.records.add_request(request)
         return request
@@ -185,6 +194,19 @@
     kind = "kept"
 
 
+class IdleCaller(Caller):
+    """Use a connection again after it was idle for as long as allowed."""
+
+    kind = "idle"
+
+    def exchange(self):
+        is_usable = super().exchange()
+        if is_usable:
+            limit = IDLE_FRACTION * writers.IDLE_TIMEOUT_MS / 1000
+            self.load.stopped.wait(self.random.uniform(0.0, limit))
+        return is_usable
+
+
 class FreshCaller(Caller):
     """Use a new connection for each request."""
 
@@ -228,8 +250,9 @@
             self.random.choice((100, LARGE_BYTES)),
         )
         pause = self.random.uniform(0.0, 0.5)
+        is_chunked = request.body_size > 0 and self.random.random() < 0.5
         return self.connection.send(
-            request, pause
+            request, pause, is_chunked
         ) and self.connection.receive(request, pause)
 
 
@@ -267,4 +290,11 @@
         return request.status == 200
 
 
-KINDS = (KeptCaller, AheadCaller, FreshCaller, SlowCaller, VersionCaller)
+KINDS = (
+    KeptCaller,
+    IdleCaller,
+    AheadCaller,
+    FreshCaller,
+    SlowCaller,
+    VersionCaller,
+)
--- a/tools/loopback/faults.py
+++ b/tools/loopback/faults.py
@@ -32,12 +32,16 @@
         self.kinds = kinds
 
     def run(self):
-        while not self.soak.calm.is_set():
-            kind = self.random.choice(self.kinds)
-            fault = getattr(self, kind)
-            if fault():
-                self.soak.records.count_fault(kind)
-            self.soak.calm.wait(self.random.uniform(0.05, 0.8))
+        """Cause faults until the calm; note an error of the soak itself."""
+        try:
+            while not self.soak.calm.is_set():
+                kind = self.random.choice(self.kinds)
+                fault = getattr(self, kind)
+                if fault():
+                    self.soak.records.count_fault(kind)
+                self.soak.calm.wait(self.random.uniform(0.05, 0.8))
+        except Exception as error:
+            self.soak.errors.append(error)
 
     def _sleep(self, low, high):
         time.sleep(self.random.uniform(low, high))
@@ -434,25 +438,23 @@
     return clients
 
 
-KINDS = (
-    "terminate",
-    "kill",
-    "freeze",
-    "reload",
-    "configure",
-    "evacuate",
-    "store_down",
-    "store_slow",
-    "store_stale",
-    "store_broken",
-    "store_restart",
-    "store_restore",
-    "link_broken",
-    "target_crash",
-    "target_leave",
-    "target_faulty",
-    "half_bodies",
+# Each series draws from one group.
+GROUPS = (
+    ("terminate", "kill", "freeze", "reload"),
+    (
+        "configure",
+        "evacuate",
+        "store_down",
+        "store_slow",
+        "store_stale",
+        "store_broken",
+        "store_restart",
+        "store_restore",
+        "link_broken",
+    ),
+    ("target_crash", "target_leave", "target_faulty", "half_bodies"),
 )
+KINDS = tuple(kind for group in GROUPS for kind in group)
 # Faults of issue 33 that main does not withstand yet.
 OPEN_KINDS = (
     "few_descriptors",
--- a/tools/loopback/http_messages.py
+++ b/tools/loopback/http_messages.py
@@ -50,6 +50,14 @@
     return (line * (size // len(line) + 1))[:size]
 
 
+def make_chunks(body):
+    """Return a body as two chunks."""
+    middle = len(body) // 2
+    parts = [part for part in (body[:middle], body[middle:]) if part]
+    chunks = [f"{len(part):x}\r\n".encode() + part + b"\r\n" for part in parts]
+    return b"".join(chunks) + b"0\r\n\r\n"
+
+
 def make_head(start_line, headers):
     """Return the bytes of a start line and headers."""
     lines = [start_line, *(f"{name}: {value}" for name, value in headers)]
--- a/tools/loopback/records.py
+++ b/tools/loopback/records.py
@@ -27,6 +27,7 @@
         "idempotent",
         "body_size",
         "answer_size",
+        "deadline_ms",
         "process",
         "sent_at",
         "written_at",
@@ -39,7 +40,14 @@
     )
 
     def __init__(
-        self, request_id, host, route, body_size, answer_size, work_ms
+        self,
+        request_id,
+        host,
+        route,
+        body_size,
+        answer_size,
+        work_ms,
+        deadline_ms,
     ):
         self.id = request_id
         self.host = host
@@ -49,6 +57,7 @@
         self.idempotent = route.idempotent
         self.body_size = body_size
         self.answer_size = answer_size
+        self.deadline_ms = deadline_ms
         self.process = None
         self.sent_at = 0.0
         self.written_at = 0.0
--- a/tools/loopback/soak.py
+++ b/tools/loopback/soak.py
@@ -21,7 +21,8 @@
 START_SECONDS = 60.0
 # The platform's bound is a few seconds; a busy machine gets more.
 RECOVERY_SECONDS = 30.0
-FAULT_SERIES = 3
+# One more series of each group for so many hosts.
+HOSTS_PER_SERIES = 8
 MAX_RATE = 250.0
 MAX_RATE_PER_HOST = 60.0
 
@@ -72,6 +73,8 @@
             self.processes, self.writer, self.records, seed
         )
         self.unrecovered = []
+        # Errors of the soak itself.
+        self.errors = []
 
     def run(self, seconds):
         """Run for some seconds and return all broken promises."""
@@ -108,11 +111,17 @@
                 self.load.add(kind(self.load, host, number, pause))
 
     def _run_faults(self, seconds):
+        groups = [
+            [kind for kind in group if kind in self.kinds]
+            for group in (*faults.GROUPS, faults.OPEN_KINDS)
+        ]
+        repeats = 1 + len(self.hosts) // HOSTS_PER_SERIES
         series = [
             threading.Thread(
-                target=faults.FaultSeries(self, number, self.kinds).run
+                target=faults.FaultSeries(self, number, group).run
             )
-            for number in range(FAULT_SERIES)
+            for number, group in enumerate(groups * repeats)
+            if group
         ]
         for thread in series:
             thread.start()
@@ -120,6 +129,8 @@
         self.calm.set()
         for thread in series:
             thread.join()
+        if self.errors:
+            raise self.errors[0]
 
     def _recover(self):
         """Check that each host answers after the faults."""
--- a/tools/loopback/writers.py
+++ b/tools/loopback/writers.py
@@ -4,6 +4,7 @@
 import time
 
 TIMEOUT_MS = 2_500
+IDLE_TIMEOUT_MS = 5_000
 # Routes named after versions stay in this many versions.
 KEPT_VERSIONS = 4
 
@@ -69,7 +70,7 @@
                 "max_header_bytes": 16384,
                 "max_body_bytes": 1048576,
                 "header_timeout_ms": 3000,
-                "idle_timeout_ms": 15000,
+                "idle_timeout_ms": IDLE_TIMEOUT_MS,
             },
             "hosts": [
                 {
@@ -157,7 +158,12 @@
     def end_evacuation(self, evacuation):
         with self.lock:
             evacuation.ended_at = time.monotonic()
-            self.store.delete(f"op/evacuate/{evacuation.failure_domain}")
+            self._delete(f"op/evacuate/{evacuation.failure_domain}")
+
+    def _delete(self, key):
+        """Delete an item unless a restored store lacks it."""
+        if key in self.store.items:
+            self.store.delete(key)
 
     def register(self, target, phase="ready"):
         """Write the entry of the running process of a target."""
@@ -179,7 +185,7 @@
 
     def remove(self, instance):
         with self.lock:
-            self.store.delete(f"servers/{instance}")
+            self._delete(f"servers/{instance}")
             self.ends.setdefault(instance, time.monotonic())
 
     def write_again(self, targets):
@@ -195,8 +201,8 @@
                 key = f"op/evacuate/{domain}"
                 if domain in domains:
                     self.store.put(key, {})
-                elif key in self.store.items:
-                    self.store.delete(key)
+                else:
+                    self._delete(key)
             live = {
                 target.instance
                 for target in targets
