Read settings later that could not be opened

A settings file that changed while the process had no free descriptor was refused and never read again: the change was marked as read before the file was opened. Now the mark is set after the file was opened, the next check a second later reads it, and the log says reload_postponed once.

--- a/src/hickorythread/documents.py
+++ b/src/hickorythread/documents.py
@@ -1,5 +1,6 @@
 """Read JSON documents and report the location of syntax errors."""
 
+from collections.abc import Callable
 import json
 import pathlib
 from typing import Any
@@ -20,11 +21,18 @@
     """Report JSON that Python's parser accepts but that is rejected here."""
 
 
-def read(path: str) -> ReadResult:
-    """Read and parse a JSON file, or return its problems."""
+def read(
+    path: str, is_transient: Callable[[OSError], bool] = lambda error: False
+) -> ReadResult:
+    """Read and parse a JSON file, or return its problems.
+
+    Raises OSError if the file cannot be read and the error is transient.
+    """
     try:
         data = pathlib.Path(path).read_bytes()
     except OSError as error:
+        if is_transient(error):
+            raise
         return _error_result("", f"cannot read {path}: {error.strerror}")
     return parse(data)
 
--- a/src/hickorythread/mesh/settings_file.py
+++ b/src/hickorythread/mesh/settings_file.py
@@ -4,6 +4,7 @@
 
 import expression
 
+from hickorythread import descriptors
 from hickorythread import documents
 from hickorythread import exceptions
 from hickorythread import logs
@@ -32,6 +33,7 @@
         self.path = path
         self.settings = settings
         self.signature = self._read_signature()
+        self.postponed = False
 
     def changed(self) -> bool:
         """Return whether the file has changed since it was last read."""
@@ -39,8 +41,14 @@
 
     def reload(self) -> list[str]:
         """Apply the reloadable settings; return the names of those changed."""
-        self.signature = self._read_signature()
-        result = self._read()
+        signature = self._read_signature()
+        try:
+            result = self._read()
+        except OSError as error:
+            self._postpone(error)
+            return []
+        self.signature = signature
+        self.postponed = False
         if result.is_error():
             logs.error(
                 "reload_refused",
@@ -61,11 +69,18 @@
     def _read(
         self,
     ) -> expression.Result[mesh_settings.Settings, list[exceptions.Problem]]:
-        loaded = documents.read(self.path)
+        """Read the settings; raises OSError if a later read may succeed."""
+        loaded = documents.read(self.path, descriptors.is_shortage)
         if loaded.is_error():
             return expression.Error(loaded.error)
         return mesh_settings.Settings.from_config(loaded.ok)
 
+    def _postpone(self, error: OSError) -> None:
+        """Leave the change to a later check; it is logged once."""
+        if not self.postponed:
+            self.postponed = True
+            logs.warning("reload_postponed", path=self.path, error=str(error))
+
     def _changed_fields(self, other: mesh_settings.Settings) -> list[str]:
         return [
             name
--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -1,6 +1,7 @@
 """Tests of sidecar processes that run out of file descriptors."""
 
 import http.client
+import json
 import os
 import resource
 import socket
@@ -135,3 +136,16 @@
     assert "reason=no-descriptor" in log
     assert "usable=false" not in log and "target_paused" not in log
     assert mesh.processes[SOUTH].poll() is None
+
+
+def test_settings_that_cannot_be_opened_are_read_later(mesh):
+    """Guards against a change that is lost for want of a descriptor."""
+    pid = mesh.processes[SOUTH].pid
+    _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, hard))
+    path = mesh.folder / f"{SOUTH}.json"
+    document = json.loads(path.read_text("utf-8"))
+    path.write_text(json.dumps(document | {"retry_slack": 61}), "utf-8")
+    mesh.wait_until(lambda: "event=reload_" in mesh.read_log(SOUTH))
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (hard, hard))
+    mesh.wait_until(lambda: "changed=retry_slack" in mesh.read_log(SOUTH))
