Close incomplete requests when a listener is full

At the limit such a connection now makes room once its head is a second late, unless it has an open request.

--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -334,7 +334,8 @@
     def _read_head(self) -> http_requests.Head | http_requests.HeadError:
         """Read the head of a request, or return what is wrong with it."""
         self.head_begun = True
-        self.accepted.table.mark_busy(self.accepted)
+        if self._all_sent():
+            self.accepted.table.mark_reading(self.accepted, time.monotonic())
         self.rfile.limit(self.options.request_seconds)
         try:
             return http_requests.read_head(self.rfile)
@@ -342,6 +343,8 @@
             return error
         except TimeoutError:
             return http_requests.HeadError(408, "request head took too long")
+        finally:
+            self.accepted.table.mark_busy(self.accepted)
 
     def _make_environ(
         self, exchange: Exchange, head: http_requests.Head
