Test that no descriptor stays behind bad connections and restarts

2,000 connections over the four ports that are cut, reset or garbage, and three restarts of a peer and a target: the count of descriptors of a real sidecar returns to its start.

--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -5,11 +5,13 @@
 import os
 import resource
 import socket
+import struct
 import time
 
 import pytest
 
 from tools.loopback import sidecars
+from tools.loopback import target
 
 NORTH, SOUTH = sidecars.HOSTS
 LISTENERS = ("request", "readiness", "stream", "metrics")
@@ -172,3 +174,52 @@
     mesh.wait_until(lambda: "event=reload_" in mesh.read_log(SOUTH))
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (hard, hard))
     mesh.wait_until(lambda: "changed=retry_slack" in mesh.read_log(SOUTH))
+
+
+def spoil(sock, number):
+    """Leave a connection in one of the ways in which clients do."""
+    pieces = (
+        b"GET / HTT",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+        b"POST /one/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\na",
+        b"GET /two/1 HTTP/1.1\r\nHost: a.example\r\n\r\n",
+        b"",
+    )
+    try:
+        sock.send(pieces[number % len(pieces)])
+    except OSError:
+        # It has been refused, or is not open yet.
+        pass
+    if number % 3 == 0:
+        reset = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+
+
+def test_no_descriptor_stays_behind_connections_that_end_badly(mesh):
+    """Guards against descriptors that leak until none is left."""
+    before = count_descriptors(mesh, SOUTH)
+    for _ in range(20):
+        connections = open_flood(mesh, SOUTH, 100)
+        for number, sock in enumerate(connections):
+            spoil(sock, number)
+        close_all(connections)
+    mesh.wait_until(lambda: count_descriptors(mesh, SOUTH) <= before + 2)
+    assert mesh.request(SOUTH, "/two/1")[0] == 200
+
+
+def test_no_descriptor_stays_behind_peers_and_targets_that_come_and_go(mesh):
+    """Guards against descriptors that leak with each restart of a peer."""
+    before = count_descriptors(mesh, SOUTH)
+    for _ in range(3):
+        mesh.processes[NORTH].kill()
+        mesh.processes[NORTH].wait()
+        mesh.targets[SOUTH].server.shutdown()
+        mesh.targets[SOUTH].server.server_close()
+        # An open connection may outlive the listener of the target.
+        assert mesh.request(SOUTH, "/two/1")[0] in (200, 502, 503)
+        address = (SOUTH, mesh.ports["target"])
+        mesh.targets[SOUTH] = target.Target(address, "i-2")
+        mesh.start(NORTH)
+        mesh.wait_until(lambda: mesh.is_usable(SOUTH))
+        mesh.wait_until(lambda: mesh.request(SOUTH, "/two/2")[0] == 200)
+    mesh.wait_until(lambda: count_descriptors(mesh, SOUTH) <= before + 2)
