Free the content of a response with its last byte

Callers would lose their requests when a process passes its memory limit. 400 clients that had got answers of 1 MB each held 115 MB of the process, although the sockets had taken every byte: an exchange and its on_abandoned refer to each other, so that the content stayed until the garbage collector came by. The exchange drops both once the response is handed over. A connection that discards what a client still sends kept 64 KiB while it waited for more; all connections discard into one buffer.

Evidence: a new test fails without the change (the content is still there).

--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -39,6 +39,8 @@
 # Returned by an application that responds through its exchange later.
 DEFERRED: list[bytes] = []
 
+# Where all connections put what they read only to discard it.
+_DISCARDED = bytearray(65_536)
 _INVALID_RESPONSE_VALUE = re.compile(r"[\x00\r\n]")
 _HEAD_ERROR_REASONS = {
     408: "Request Timeout",
@@ -153,6 +155,15 @@
         head = "\r\n".join(lines).encode("latin1")
         return head if self.head_only else head + self.content
 
+    def drop_content(self) -> None:
+        """Drop what a sent response needs no more.
+
+        The exchange and on_abandoned refer to each other, so that only the
+        garbage collector would free the content.
+        """
+        self.content = b""
+        self.on_abandoned = None
+
     def wants_close(self) -> bool:
         """Return whether the connection cannot be used after the response."""
         return not self.body.complete or any(
@@ -224,6 +235,8 @@
         data = b"".join(
             item.render(closes and item is ready[-1]) for item in ready
         )
+        for item in ready:
+            item.drop_content()
         if data:
             self._send(data)
         self._progressed()
@@ -442,8 +455,10 @@
             return
         bytes_left = MAX_DISCARDED_BYTES
         with eventlet.Timeout(LINGER_SECONDS, False):
-            while bytes_left > 0 and (data := self.connection.recv(65536)):
-                bytes_left -= len(data)
+            while bytes_left > 0 and (
+                size := self.connection.recv_into(_DISCARDED)
+            ):
+                bytes_left -= size
 
     def _reject(self, error: http_requests.HeadError) -> None:
         """Respond to a request that cannot be read; it is the last one."""
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -277,6 +277,22 @@
         assert caller.response()[2] == b"/b"
 
 
+def test_sent_response_keeps_no_content():
+    """Guards against contents that only the garbage collector frees."""
+    with serving() as (caller, node, steps):
+        exchanges = []
+
+        def answer():
+            exchanges.append(node.clients[1].exchange)
+            node.answer("/a", b"x" * 100_000)
+
+        caller.send(get("/a"))
+        steps.append(when_started(node, ["/a"], answer))
+        assert len(caller.response()[2]) == 100_000
+        assert exchanges[0].content == b""
+        assert exchanges[0].on_abandoned is None
+
+
 def test_interim_response_waits_for_the_earlier_responses():
     """Guards against 100 Continue that a client takes for an earlier one."""
     with serving() as (caller, node, steps):
