Try again to bind an address that is in use at the start

Callers saw a host without a sidecar: a port that was still taken by a process about to end, or as the local port of an outgoing connection, ended the start with 3 at once, and a supervisor that gives up after a few exits leaves it so. Any other error of bind was called address in use as well.

Handlers of signals are installed before, so that SIGTERM meanwhile exits 0 and SIGHUP ends nothing. An address that the host lacks, or the user may not use, exits 2.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from hickorythread import binding
 from hickorythread import codec
 from hickorythread import descriptors
 from hickorythread import events as base_events
@@ -70,6 +71,9 @@
         watched_file: settings_file.SettingsFile | None = None,
     ) -> None:
         super().__init__()
+        self.bind_seconds = binding.BIND_SECONDS
+        # Whether the tasks have been started.
+        self.started = False
         now = clock.monotonic()
         self.settings = settings
         self.watched_file = watched_file
@@ -163,7 +167,6 @@
         settings = self.settings
         host_id = settings.host_id
         limit = self.connections.update_limit()
-        self.streams.listen(f"{host_id}:{settings.stream_port}")
         apps = (
             (
                 settings.request_address,
@@ -181,8 +184,16 @@
                 descriptors.METRICS,
             ),
         )
-        for address, app, use in apps:
-            self.spawn(self._serve, self.listen(address), app, use)
+        stream_listener, *self.listeners = self.bind_in_time(
+            [
+                f"{host_id}:{settings.stream_port}",
+                *(address for address, _, _ in apps),
+            ]
+        )
+        self.started = True
+        self.streams.serve(stream_listener)
+        for listener, (_, app, use) in zip(self.listeners, apps, strict=True):
+            self.spawn(self._serve, listener, app, use)
         for source_watcher in self.synchronizer.watchers:
             self.spawn(source_watcher.run)
         for task in (
@@ -202,6 +213,9 @@
         if self.stopping:
             return
         self.stopping = True
+        if not self.started:
+            # The start ends at its next attempt to bind the addresses.
+            return
         logs.info("node_draining", waiting=len(self.clients))
         self.spawn(self._drain)
 
@@ -614,7 +628,6 @@
     node = Node(
         settings, source, dialect, clock, random.Random(), watched_file
     )
-    if not process.run(node):
-        return process.EXIT_ADDRESS_IN_USE
+    code = process.run(node)
     node.decisions.flush(sys.stdout, logs.MAX_BUFFERED_DECISIONS)
-    return node.exit_code()
+    return code
--- a/src/hickorythread/node.py
+++ b/src/hickorythread/node.py
@@ -573,8 +573,7 @@
 def run(settings: node_settings.Settings) -> int:
     """Run a node until SIGTERM or SIGINT; returns the exit code."""
     node = Node.from_config(settings)
-    if not process.run(node):
-        return process.EXIT_ADDRESS_IN_USE
+    code = process.run(node)
     node.streams.stop()
     node.decisions.flush(sys.stderr)
-    return node.exit_code()
+    return code
--- a/src/hickorythread/process.py
+++ b/src/hickorythread/process.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import gc
 import signal
+import time
 import traceback
 from typing import Any
 
@@ -10,10 +11,12 @@
 from eventlet import event as eventlet_event
 from eventlet import hubs
 
+from hickorythread import binding
 from hickorythread import logs
 from hickorythread import utils
 
 EXIT_OK = 0
+EXIT_USAGE = 2
 EXIT_ADDRESS_IN_USE = 3
 EXIT_INVARIANT = 5
 
@@ -23,6 +26,8 @@
 
     def __init__(self) -> None:
         self.stopping = False
+        # How long start() tries to bind addresses, in seconds.
+        self.bind_seconds = 0.0
         self.failure: BaseException | None = None
         self.finished = eventlet_event.Event()
         self.listeners: list[Any] = []
@@ -43,12 +48,27 @@
 
     def listen(self, address: str) -> Any:
         """Bind an address and return its listening socket."""
-        listener = eventlet.listen(
-            utils.split_address(address), reuse_port=False
-        )
+        (listener,) = bind([address])
         self.listeners.append(listener)
         return listener
 
+    def bind_in_time(self, addresses: list[str]) -> list[Any]:
+        """Bind all addresses; try again for bind_seconds.
+
+        Raises OSError if one cannot be bound, or if a stop was requested.
+        """
+        policy = binding.BindPolicy(time.monotonic(), self.bind_seconds)
+        while True:
+            try:
+                return bind(addresses)
+            except OSError as error:
+                now = time.monotonic()
+                if self.stopping or not policy.may_retry(error, now):
+                    raise
+                if policy.report_due(now):
+                    logs.warning("address_in_use", error=str(error))
+            eventlet.sleep(binding.RETRY_SECONDS)
+
     def spawn(self, task: Callable[..., Any], *arguments: Any) -> None:
         """Start a task; see run_task() for exceptions in it."""
         eventlet.spawn_n(self.run_task, task, *arguments)
@@ -76,13 +96,33 @@
         return EXIT_OK if self.failure is None else EXIT_INVARIANT
 
 
-def run(process: Process) -> bool:
-    """Run a process to its end; returns False if an address is in use."""
+def bind(addresses: list[str]) -> list[Any]:
+    """Bind all addresses and return their listening sockets.
+
+    Raises OSError if one cannot be bound; the others are closed then.
+    """
+    listeners: list[Any] = []
     try:
-        process.start()
+        for address in addresses:
+            listeners.append(_listen(address))
+    except OSError:
+        for listener in listeners:
+            listener.close()
+        raise
+    return listeners
+
+
+def _listen(address: str) -> Any:
+    try:
+        return eventlet.listen(utils.split_address(address), reuse_port=False)
     except OSError as error:
-        logs.error("address_in_use", error=str(error))
-        return False
+        message = f"{address}: {error.strerror}"
+        raise OSError(error.errno, message) from error
+
+
+def run(process: Process) -> int:
+    """Run a process to its end; return the exit code."""
+    # Installed first, since the start may wait for an address.
     signal_handlers = {
         signal.SIGTERM: process.stop,
         signal.SIGINT: process.stop,
@@ -90,10 +130,26 @@
     }
     for signal_number, handler in signal_handlers.items():
         _install_signal_handler(signal_number, handler)
+    try:
+        process.start()
+    except OSError as error:
+        return _start_failed(process, error)
     gc.collect()
     gc.freeze()
     process.finished.wait()
-    return True
+    return process.exit_code()
+
+
+def _start_failed(process: Process, error: OSError) -> int:
+    for listener in process.listeners:
+        listener.close()
+    if process.stopping:
+        return EXIT_OK
+    if binding.is_unusable(error):
+        logs.error("address_unusable", error=str(error))
+        return EXIT_USAGE
+    logs.error("address_in_use", error=str(error))
+    return EXIT_ADDRESS_IN_USE
 
 
 def _install_signal_handler(
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -261,9 +261,13 @@
 
         Raises OSError if the address cannot be bound.
         """
-        self.listener = eventlet.listen(
-            utils.split_address(address), reuse_port=False
+        self.serve(
+            eventlet.listen(utils.split_address(address), reuse_port=False)
         )
+
+    def serve(self, listener: Any) -> None:
+        """Start accepting on a listening socket."""
+        self.listener = listener
         self.tasks.append(self.spawn(self._accept))
         if self.measures_clocks:
             self.tasks.append(self.spawn(self._probe_clocks))
