Survive signals and a half-written settings file at the start

Callers saw a host without a sidecar: when settings change, the platform rewrites the file and sends SIGHUP. Until the start was complete, SIGHUP and SIGUSR1 ended the process by their default action, and a file that was missing, empty or cut for a moment ended it with 2.

A file that is not JSON yet is read again for 2 s.

What arrives before the interpreter runs its first statement still ends the process.

--- a/deploy/sidecar.py
+++ b/deploy/sidecar.py
@@ -1,7 +1,12 @@
 """Entry point of the deployment: runs hickorythread from a checkout."""
 
-import pathlib
-import sys
+import signal
+
+# Its default action would end the process while it loads the rest.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import pathlib  # noqa: E402
+import sys  # noqa: E402
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "src"))
--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from hickorythread import command_errors
+from hickorythread import early_signals
 from hickorythread import exit_codes
 from hickorythread import log_stream
 from hickorythread import output
@@ -35,6 +36,8 @@
     if arguments[:1] in (["node"], ["sidecar"]):
         _exit_on_sigterm()
         log_stream.open_missing_descriptors()
+    if arguments[:1] == ["sidecar"]:
+        early_signals.ignore_until_started()
     if arguments[:1] in (["node"], ["sidecar"], ["standin"]):
         # A sidecar has no locks that tasks wait for.
         _patch_standard_library(locks=arguments[0] != "sidecar")
@@ -164,14 +167,16 @@
     :param settings: settings file in JSON
     """
     from hickorythread.mesh import settings as settings_module
+    from hickorythread.mesh import settings_file
 
     log_stream.guard_standard_streams()
-
+    signature = settings_file.wait_until_readable(settings)
     return _run_process(
         settings,
         settings_module.Settings.from_config,
         "hickorythread.platform.sidecar",
         settings,
+        signature,
     )
 
 
--- a/src/hickorythread/mesh/settings_file.py
+++ b/src/hickorythread/mesh/settings_file.py
@@ -1,6 +1,7 @@
 """Reloads the settings file of a running sidecar."""
 
 import os
+import time
 
 import expression
 
@@ -22,6 +23,10 @@
     "warmup_burst",
 )
 
+# A file that is being replaced may be missing, empty or cut at the start.
+REPLACEMENT_SECONDS = 2.0
+POLL_SECONDS = 0.05
+
 FileSignature = tuple[int, int, int]
 
 
@@ -31,15 +36,15 @@
     def __init__(self, path: str, settings: mesh_settings.Settings) -> None:
         self.path = path
         self.settings = settings
-        self.signature = self._read_signature()
+        self.signature = read_signature(self.path)
 
     def changed(self) -> bool:
         """Return whether the file has changed since it was last read."""
-        return self._read_signature() != self.signature
+        return read_signature(self.path) != self.signature
 
     def reload(self) -> list[str]:
         """Apply the reloadable settings; return the names of those changed."""
-        self.signature = self._read_signature()
+        self.signature = read_signature(self.path)
         result = self._read()
         if result.is_error():
             logs.error(
@@ -73,10 +78,21 @@
             if getattr(self.settings, name) != getattr(other, name)
         ]
 
-    def _read_signature(self) -> FileSignature | None:
-        """Return modification time, size and inode, None without a file."""
-        try:
-            status = os.stat(self.path)
-        except OSError:
-            return None
-        return status.st_mtime_ns, status.st_size, status.st_ino
+
+def read_signature(path: str) -> FileSignature | None:
+    """Return modification time, size and inode, None without a file."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
+def wait_until_readable(path: str) -> FileSignature | None:
+    """Wait a while for a file that holds JSON; return its signature."""
+    ends_at = time.monotonic() + REPLACEMENT_SECONDS
+    while True:
+        signature = read_signature(path)
+        if documents.read(path).is_ok() or time.monotonic() >= ends_at:
+            return signature
+        time.sleep(POLL_SECONDS)
--- a/src/hickorythread/platform/sidecar.py
+++ b/src/hickorythread/platform/sidecar.py
@@ -7,11 +7,17 @@
 from hickorythread.platform import store
 
 
-def run(settings: mesh_settings.Settings, path: str) -> int:
+def run(
+    settings: mesh_settings.Settings,
+    path: str,
+    signature: settings_file.FileSignature | None,
+) -> int:
     """Run a sidecar until it is asked to stop; return the exit code.
 
-    path is the settings file; its changes are applied at run time.
+    path is the settings file; its changes are applied at run time. signature
+    is that of the file before the settings were read.
     """
     source = store.StoreClient(settings.source_address, settings.regions)
     watched_file = settings_file.SettingsFile(path, settings)
+    watched_file.signature = signature
     return node.run(settings, source, headers.Headers(), watched_file)
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -159,3 +159,64 @@
     _, text = mesh.get(SOUTH, "metrics", "/metrics")
     (line,) = [x for x in text.decode().splitlines() if x.startswith(name)]
     return float(line.removeprefix(name))
+
+
+def test_stop_while_a_port_is_in_use_is_graceful(mesh):
+    """Guards against a stop that waits for the port, or looks like a crash."""
+    with take_address(mesh, "readiness"):
+        before = mesh.read_log(SOUTH).count("address_in_use")
+        mesh.start(SOUTH)
+        mesh.wait_until(
+            lambda: mesh.read_log(SOUTH).count("address_in_use") > before
+        )
+        mesh.processes[SOUTH].send_signal(signal.SIGHUP)
+        mesh.processes[SOUTH].send_signal(signal.SIGTERM)
+        assert mesh.processes[SOUTH].wait(sidecars.WAIT_SECONDS) == 0
+
+
+def catches_sigterm(process):
+    """Return whether a process has a handler for SIGTERM."""
+    with open(f"/proc/{process.pid}/status", encoding="utf-8") as file:
+        (line,) = [x for x in file if x.startswith("SigCgt:")]
+    return bool(int(line.split()[1], 16) >> (signal.SIGTERM - 1) & 1)
+
+
+@pytest.mark.parametrize(
+    "number", [signal.SIGHUP, signal.SIGUSR1, signal.SIGPIPE]
+)
+def test_signal_during_the_start_does_not_end_the_process(mesh, number):
+    """Guards against the default action of signals while libraries load."""
+    stop(mesh)
+    mesh.start(SOUTH)
+    process = mesh.processes[SOUTH]
+    deadline = time.monotonic() + sidecars.WAIT_SECONDS
+    while not catches_sigterm(process) and time.monotonic() < deadline:
+        time.sleep(0.001)
+    time.sleep(0.02)
+    process.send_signal(number)
+    mesh.wait_until(lambda: mesh.is_ready(SOUTH) or process.poll() is not None)
+    assert process.poll() is None
+    process.send_signal(number)
+    assert mesh.request(SOUTH, "/two/signal")[0] == 200
+    assert process.poll() is None
+
+
+@pytest.mark.parametrize("data", [None, b"", b'{"host_id": "127.0'])
+def test_settings_that_are_being_replaced_are_read_again(mesh, data):
+    """Guards against a start that fails as its settings file is written."""
+    path = mesh.folder / f"{SOUTH}.json"
+    settings = path.read_bytes()
+    stop(mesh)
+    mesh.start(SOUTH, settings_data=data)
+    time.sleep(0.8)
+    path.write_bytes(settings)
+    mesh.wait_until(lambda: mesh.is_ready(SOUTH))
+    assert mesh.request(SOUTH, "/two/settings")[0] == 200
+
+
+def test_broken_settings_end_the_start_with_all_mistakes(mesh):
+    """Guards against a start that waits for ever for its settings."""
+    stop(mesh)
+    mesh.start(SOUTH, settings_data=b"{")
+    assert mesh.processes[SOUTH].wait(sidecars.WAIT_SECONDS) == 2
+    assert "malformed JSON" in mesh.read_log(SOUTH)
--- a/tools/loopback/sidecars.py
+++ b/tools/loopback/sidecars.py
@@ -64,8 +64,12 @@
         )
         self.store.put(f"servers/{instance}", document)
 
-    def start(self, host, **options):
-        """Start the sidecar of a host; options go to subprocess.Popen."""
+    def start(self, host, settings_data=..., **options):
+        """Start the sidecar of a host; options go to subprocess.Popen.
+
+        settings_data takes the place of the settings file's content; None
+        removes the file.
+        """
         settings = {
             "host_id": host,
             "failure_domain": HOSTS[host],
@@ -83,6 +87,10 @@
         } | self.settings
         path = self.folder / f"{host}.json"
         path.write_text(json.dumps(settings), "utf-8")
+        if settings_data is None:
+            path.unlink()
+        elif settings_data is not ...:
+            path.write_bytes(settings_data)
         with open(self.folder / f"{host}.log", "ab") as log:
             self.processes[host] = subprocess.Popen(
                 [
