Answer the requests that reach a stopping sidecar as it closes its listeners

Callers saw connections that ended without an answer. A request that was sent on a kept connection behind an open one, after the listeners had closed, was read whole and dropped: its connection ended 357 ms after its last byte (SIGTERM, grace time 6 s, one request of 1.6 s at its target). Connections that waited to be accepted, or whose request had not been read, were reset by the close: with 16 clients, 9 connections without an answer at 3.74 s after SIGTERM. A frozen process lost all six requests that had come before it closed its listeners.

The server of eventlet shuts idle connections down with their listener, without a look at their buffers, and a request whose head was read while the process drained ended its connection. Now the node accepts what waits before it closes a listener, lets new connections bring their request for 0.1 s, closes only connections without unread bytes, and refuses with 503 and Connection: close what it reads afterwards. Such a request is never started. The exit waits for connections whose clients still read, within the same limit as before.

--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -43,6 +43,7 @@
 _HEAD_ERROR_REASONS = {
     408: "Request Timeout",
     431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
 }
 
 
@@ -50,23 +51,40 @@
     """Hold what the connections of one server share.
 
     request_seconds limits the time from the first byte of a request to the
-    last one, idle_seconds that without any byte.
+    last one, idle_seconds that without any byte. With closes_idle the server
+    ends idle connections with its listener, otherwise drain() does.
     """
 
-    __slots__ = ("backlog", "idle_seconds", "request_seconds", "draining")
+    __slots__ = (
+        "backlog",
+        "idle_seconds",
+        "request_seconds",
+        "closes_idle",
+        "connections",
+        "draining",
+    )
 
     def __init__(
         self,
         backlog: pipelining.Backlog | None = None,
         idle_seconds: float = IDLE_SECONDS,
         request_seconds: float = REQUEST_SECONDS,
+        closes_idle: bool = True,
     ) -> None:
         self.backlog = backlog or pipelining.Backlog()
         self.idle_seconds = idle_seconds
         self.request_seconds = request_seconds
-        # Once set, no further request is started, on any connection.
+        self.closes_idle = closes_idle
+        self.connections: set[HttpProtocol] = set()
+        # Once set, further requests are refused, on any connection.
         self.draining = False
 
+    def drain(self) -> None:
+        """Refuse further requests and close the idle connections."""
+        self.draining = True
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
 
 class Exchange:
     """Hold one request of a connection until its response is sent.
@@ -176,8 +194,10 @@
         self.responses: pipelining.ResponseQueue[Exchange] = (
             pipelining.ResponseQueue(options.backlog)
         )
-        # Set once no further request is read.
+        # Set once no further request is read, and once the caller has been
+        # told so.
         self.closing = False
+        self.announced_close = False
         # Set while the task of the connection reads the head of a request, and
         # whether bytes of that request have arrived.
         self.receiving = False
@@ -192,9 +212,13 @@
         self.connection = self.request
         self.rfile = connection_reader.ConnectionReader(self.connection)
         self.rfile.idle_timeout = self.options.idle_seconds
+        self.options.connections.add(self)
+        if not self.options.closes_idle:
+            self.conn_state[2] = wsgi.STATE_REQUEST
 
     def finish(self) -> None:
         """Close the connection."""
+        self.options.connections.discard(self)
         http_client.shut_down(self.connection)
         self.connection.close()
 
@@ -225,6 +249,7 @@
             item.render(closes and item is ready[-1]) for item in ready
         )
         if data:
+            self.announced_close = closes
             self._send(data)
         self._progressed()
 
@@ -239,6 +264,14 @@
         http_client.shut_down(self.connection)
         self._progressed()
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request has begun to arrive."""
+        if not self.receiving or self.head_begun or not self._all_sent():
+            return
+        if self.rfile.is_empty() and not has_unread(self.connection):
+            self.closing = self.announced_close = True
+            http_client.shut_down(self.connection)
+
     def caller_connected(self) -> bool:
         """Return whether the caller is still connected.
 
@@ -265,7 +298,10 @@
         """Let the task of the connection go on after a change of its state."""
         if self._all_sent() and not self.head_begun:
             # On shutdown the server closes only idle connections.
-            if self.conn_state[2] == wsgi.STATE_REQUEST:
+            if (
+                self.options.closes_idle
+                and self.conn_state[2] == wsgi.STATE_REQUEST
+            ):
                 self.conn_state[2] = wsgi.STATE_IDLE
         task, self.waiting_task = self.waiting_task, None
         if task is not None:
@@ -306,13 +342,18 @@
             head = self._read_head()
         finally:
             self.receiving = self.head_begun = False
-        if self.closing or self._is_draining():
-            # Counts as not read: the connection closes without a response to
-            # it, as soon as the earlier requests have theirs.
+        if self.abandoned or self.announced_close:
+            # The caller knows that this request is not read.
             return False
         if isinstance(head, http_requests.HeadError):
             self._reject(head)
             return False
+        if self.closing or self._is_draining():
+            self._reject(
+                http_requests.HeadError(503, "process ends", "stopping"),
+                head.method,
+            )
+            return False
         exchange = Exchange(self, head)
         self.responses.add(exchange)
         self.closing = head.closes
@@ -445,11 +486,14 @@
             while bytes_left > 0 and (data := self.connection.recv(65536)):
                 bytes_left -= len(data)
 
-    def _reject(self, error: http_requests.HeadError) -> None:
-        """Respond to a request that cannot be read; it is the last one."""
+    def _reject(
+        self, error: http_requests.HeadError, method: str = "GET"
+    ) -> None:
+        """Respond to a request that is not read further; it is the last."""
         self.closing = True
-        exchange = Exchange(self, http_requests.Head("GET", "/", "HTTP/1.1"))
-        body = f'{{"reason": "head", "message": "{error.message}"}}'.encode()
+        exchange = Exchange(self, http_requests.Head(method, "/", "HTTP/1.1"))
+        text = f'{{"reason": "{error.reason}", "message": "{error.message}"}}'
+        body = text.encode()
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
@@ -461,6 +505,14 @@
         exchange.respond(body)
 
 
+def has_unread(sock: Any) -> bool:
+    """Return whether bytes of the peer of a green socket wait to be read."""
+    try:
+        return bool(sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 def is_connected(sock: Any) -> bool:
     """Return whether the peer of a green socket is still connected."""
     try:
--- a/src/hickorythread/http_requests.py
+++ b/src/hickorythread/http_requests.py
@@ -32,12 +32,15 @@
 
 
 class HeadError(Exception):
-    """Report a request head that is invalid or too large."""
+    """Report that a request is rejected for its head or when it came."""
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(
+        self, status: int, message: str, reason: str = "head"
+    ) -> None:
         super().__init__(message)
         self.status = status
         self.message = message
+        self.reason = reason
 
 
 class BodyError(Exception):
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from hickorythread import accept_queue
 from hickorythread import codec
 from hickorythread import events as base_events
 from hickorythread import exceptions
@@ -52,6 +53,10 @@
 # Clients send requests until two readiness checks have failed.
 MIN_DRAIN_SECONDS = 3.2
 QUIET_PERIOD_SECONDS = 0.6
+# A flood of new connections does not delay a stop for longer.
+MAX_ACCEPT_SECONDS = 0.3
+# A client sends its first request at most so long after it has connected.
+FIRST_REQUEST_SECONDS = 0.1
 
 
 class Node(process.Process):
@@ -123,7 +128,9 @@
         )
         self.clients: dict[int, interfaces.Client] = {}
         self.backlog = pipelining.Backlog()
-        self.client_connections = http_protocol.ConnectionOptions(self.backlog)
+        self.client_connections = http_protocol.ConnectionOptions(
+            self.backlog, closes_idle=False
+        )
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
         self.last_number = 0
         self.reported_dropped = 0
@@ -200,19 +207,31 @@
         self.entry.stop = stop
         self.perform(self.execution.stop(now))
         self._wait_for_quiet_period(stop)
-        # No more requests are read; those already read still get a response.
-        self.accepting = False
-        self.client_connections.draining = True
-        for listener in self.listeners:
-            listener.close()
-        while self._is_busy() and self.clock.monotonic() < stop.ends_at:
-            eventlet.sleep(TICK_SECONDS)
+        self._close_listeners()
+        self.client_connections.drain()
+        self._wait_while(self._is_in_use, stop.ends_at)
         self.perform(self.entry.end(self.clock.monotonic()))
         # Allows the last responses to leave the socket buffers.
         eventlet.sleep(TICK_SECONDS)
         logs.info("node_stopped", unfinished=len(self.clients))
         self.finish(None)
 
+    def _close_listeners(self) -> None:
+        """Refuse new connections; those already accepted bring a request."""
+        self.accepting = False
+        closes_at = self.clock.monotonic() + MAX_ACCEPT_SECONDS
+        for listener in self.listeners:
+            while not accept_queue.is_empty(listener):
+                if self.clock.monotonic() >= closes_at:
+                    break
+                eventlet.sleep(0)
+            listener.close()
+        eventlet.sleep(FIRST_REQUEST_SECONDS)
+
+    def _wait_while(self, condition: Callable[[], bool], until: float) -> None:
+        while condition() and self.clock.monotonic() < until:
+            eventlet.sleep(TICK_SECONDS)
+
     def _wait_for_quiet_period(self, stop: stopping.StopPolicy) -> None:
         """Serve clients until none sends requests for QUIET_PERIOD_SECONDS."""
         quiet_since = stop.started_at
@@ -229,6 +248,9 @@
     def _is_busy(self) -> bool:
         return not (self.backlog.empty and self.execution.idle)
 
+    def _is_in_use(self) -> bool:
+        return self._is_busy() or bool(self.client_connections.connections)
+
     def _serve(self, listener: Any, app: Any) -> None:
         options = None
         if isinstance(app, ingress.RequestApp):
