Ignore SIGHUP until the process can handle it

A sidecar ended with signal 1 when SIGHUP reached it in the first half second of its start (six of seven times, 0.02 to 0.5 s after the start): the handler is installed only once all libraries are loaded and the addresses are bound, and the default action of SIGHUP is the end of the process. An operator who changes the settings while processes restart, or a slow machine, meets that easily, and the process stays away.

SIGHUP is ignored from the first statement of the command on, so that only the start of the interpreter remains (0.02 s after the start still ends it). The settings are read after that.

The test sends SIGHUP from the moment at which SIGTERM has a handler until SIGHUP has one. Before, the process had ended; now it becomes ready.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -33,6 +33,7 @@
     arguments = sys.argv[1:] if argv is None else argv
     if arguments[:1] in (["node"], ["sidecar"]):
         _exit_on_sigterm()
+        _ignore_sighup()
     if arguments[:1] in (["node"], ["sidecar"], ["standin"]):
         # A sidecar has no locks that tasks wait for.
         _patch_standard_library(locks=arguments[0] != "sidecar")
@@ -102,6 +103,16 @@
     signal.signal(signal.SIGTERM, exit_ok)
 
 
+def _ignore_sighup() -> None:
+    """Ignore SIGHUP until the process handles it.
+
+    It reads the settings after this, and again if they change later.
+    """
+    import signal
+
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def _patch_standard_library(locks: bool) -> None:
     """Make blocking calls of the standard library cooperative (eventlet).
 
--- /dev/null
+++ b/tests/test_start_signals.py
@@ -0,0 +1,38 @@
+"""Tests of signals that reach a sidecar process while it starts."""
+
+import pathlib
+import signal
+import time
+
+from tools.loopback import sidecars
+
+HOST = "127.0.0.3"
+
+
+def handles(process, signal_number):
+    """Return whether a process has a handler for a signal."""
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text("utf-8")
+    line = next(
+        line for line in status.splitlines() if line.startswith("SigCgt:")
+    )
+    return bool(int(line.split()[1], 16) >> (signal_number - 1) & 1)
+
+
+def test_reload_signals_during_the_start_do_not_end_the_process(tmp_path):
+    """Guards against a process that SIGHUP ends before it has a handler."""
+    mesh = sidecars.Mesh(tmp_path)
+    try:
+        mesh.processes[HOST].kill()
+        mesh.processes[HOST].wait()
+        mesh.start(HOST)
+        process = mesh.processes[HOST]
+        mesh.wait_until(lambda: handles(process, signal.SIGTERM))
+        while process.poll() is None and not handles(process, signal.SIGHUP):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.02)
+        mesh.wait_until(
+            lambda: process.poll() is not None or mesh.is_ready(HOST)
+        )
+        assert process.poll() is None
+    finally:
+        mesh.close()
