Notice a change of the settings file during the start

A file that was replaced between 0.36 and 0.55 s after the start of a process was never read again (six of six starts, with SIGHUP): the settings were read before the libraries of the sidecar were loaded, and the state of the file by which a change is noticed was taken after that.

Now that state is kept only if the file still holds the settings in use; otherwise the first look at the file reads it.

--- a/src/hickorythread/mesh/settings_file.py
+++ b/src/hickorythread/mesh/settings_file.py
@@ -31,7 +31,8 @@
     def __init__(self, path: str, settings: mesh_settings.Settings) -> None:
         self.path = path
         self.settings = settings
-        self.signature = self._read_signature()
+        self.signature: FileSignature | None = None
+        self._note_if_unchanged()
 
     def changed(self) -> bool:
         """Return whether the file has changed since it was last read."""
@@ -58,6 +59,16 @@
         logs.info("settings_reloaded", changed=",".join(applied) or "-")
         return applied
 
+    def _note_if_unchanged(self) -> None:
+        """Keep the signature unless the file differs from the settings.
+
+        It may have changed between the reading of the settings and now.
+        """
+        signature = self._read_signature()
+        result = self._read()
+        if result.is_ok() and not self._changed_fields(result.ok):
+            self.signature = signature
+
     def _read(
         self,
     ) -> expression.Result[mesh_settings.Settings, list[exceptions.Problem]]:
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -41,6 +41,18 @@
     assert not file.changed()
 
 
+def test_change_during_the_start_is_noticed(tmp_path):
+    """Guards against a change after the settings were read and before now."""
+    path = tmp_path / "settings.json"
+    document = build.make_settings_document()
+    write(path, document | {"retry_slack": 7})
+    loaded = settings.Settings.from_config(document).ok
+    file = settings_file.SettingsFile(str(path), loaded)
+    assert file.changed()
+    assert file.reload() == ["retry_slack"]
+    assert not file.changed()
+
+
 def test_regions_change_for_those_who_hold_the_map(watched_file):
     """Guards against planes that keep the initial regions."""
     file, path, document = watched_file
