--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 protocol handler for the WSGI server of eventlet.
+"""HTTP/1.1 protocol handler for WSGI applications.
 
 The request loop of eventlet takes about as long as the rest of a short
 request: it parses heads with the email package, and formats and writes the
@@ -21,9 +21,9 @@
 
 import eventlet
 from eventlet import hubs
-from eventlet import wsgi
 
 from hickorythread import connection_reader
+from hickorythread import connection_table
 from hickorythread import http_client
 from hickorythread import http_requests
 from hickorythread import logs
@@ -51,40 +51,23 @@
     """Hold what the connections of one server share.
 
     request_seconds limits the time from the first byte of a request to the
-    last one, idle_seconds that without any byte. With closes_idle the server
-    ends idle connections with its listener, otherwise drain() does.
+    last one, idle_seconds that without any byte.
     """
 
-    __slots__ = (
-        "backlog",
-        "idle_seconds",
-        "request_seconds",
-        "closes_idle",
-        "connections",
-        "draining",
-    )
+    __slots__ = ("backlog", "idle_seconds", "request_seconds", "draining")
 
     def __init__(
         self,
         backlog: pipelining.Backlog | None = None,
         idle_seconds: float = IDLE_SECONDS,
         request_seconds: float = REQUEST_SECONDS,
-        closes_idle: bool = True,
     ) -> None:
         self.backlog = backlog or pipelining.Backlog()
         self.idle_seconds = idle_seconds
         self.request_seconds = request_seconds
-        self.closes_idle = closes_idle
-        self.connections: set[HttpProtocol] = set()
         # Once set, further requests are refused, on any connection.
         self.draining = False
 
-    def drain(self) -> None:
-        """Refuse further requests and close the idle connections."""
-        self.draining = True
-        for connection in list(self.connections):
-            connection.close_if_idle()
-
 
 class Exchange:
     """Hold one request of a connection until its response is sent.
@@ -178,7 +161,7 @@
         )
 
 
-class HttpProtocol(wsgi.HttpProtocol):  # type: ignore[misc]
+class HttpProtocol:
     """Serve the requests of one connection.
 
     Its task reads the requests. Those of an application that defers its
@@ -188,9 +171,17 @@
     """
 
     def __init__(
-        self, options: ConnectionOptions, conn_state: list[Any], server: Any
+        self,
+        options: ConnectionOptions,
+        accepted: connection_table.Connection,
+        app: Callable[..., Iterable[bytes]],
     ) -> None:
         self.options = options
+        self.accepted = accepted
+        self.app = app
+        self.connection = accepted.sock
+        self.rfile = connection_reader.ConnectionReader(self.connection)
+        self.rfile.idle_timeout = options.idle_seconds
         self.responses: pipelining.ResponseQueue[Exchange] = (
             pipelining.ResponseQueue(options.backlog)
         )
@@ -205,27 +196,14 @@
         self.abandoned = False
         self.waiting_task: Any = None
         self.unsent: list[bytes] = []
-        super().__init__(conn_state, server)
 
-    def setup(self) -> None:
-        """Prepare the connection for reading."""
-        self.connection = self.request
-        self.rfile = connection_reader.ConnectionReader(self.connection)
-        self.rfile.idle_timeout = self.options.idle_seconds
-        self.options.connections.add(self)
-        if not self.options.closes_idle:
-            self.conn_state[2] = wsgi.STATE_REQUEST
-
-    def finish(self) -> None:
-        """Close the connection."""
-        self.options.connections.discard(self)
-        http_client.shut_down(self.connection)
-        self.connection.close()
-
-    def handle(self) -> None:
+    def serve(self) -> None:
         """Serve requests until either side closes the connection."""
-        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
+            # Fails if the caller has reset the connection meanwhile.
+            self.connection.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+            )
             while self._may_continue() and self._serve_request():
                 pass
             self.closing = True
@@ -264,14 +242,6 @@
         http_client.shut_down(self.connection)
         self._progressed()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request has begun to arrive."""
-        if not self.receiving or self.head_begun or not self._all_sent():
-            return
-        if self.rfile.is_empty() and not has_unread(self.connection):
-            self.closing = self.announced_close = True
-            http_client.shut_down(self.connection)
-
     def caller_connected(self) -> bool:
         """Return whether the caller is still connected.
 
@@ -298,11 +268,7 @@
         """Let the task of the connection go on after a change of its state."""
         if self._all_sent() and not self.head_begun:
             # On shutdown the server closes only idle connections.
-            if (
-                self.options.closes_idle
-                and self.conn_state[2] == wsgi.STATE_REQUEST
-            ):
-                self.conn_state[2] = wsgi.STATE_IDLE
+            self.accepted.table.mark_idle(self.accepted, time.monotonic())
         task, self.waiting_task = self.waiting_task, None
         if task is not None:
             hubs.get_hub().schedule_call_global(0, task.switch)
@@ -321,8 +287,7 @@
 
     def _is_draining(self) -> bool:
         """Return whether the server starts no further requests."""
-        closed: bool = self.conn_state[2] == wsgi.STATE_CLOSE
-        return closed or self.options.draining
+        return self.accepted.closing or self.options.draining
 
     def _all_sent(self) -> bool:
         return not self.responses.open and not self.unsent
@@ -378,8 +343,7 @@
     def _read_head(self) -> http_requests.Head | http_requests.HeadError:
         """Read the head of a request, or return what is wrong with it."""
         self.head_begun = True
-        if self.conn_state[2] == wsgi.STATE_IDLE:
-            self.conn_state[2] = wsgi.STATE_REQUEST
+        self.accepted.table.mark_busy(self.accepted)
         self.rfile.limit(self.options.request_seconds)
         try:
             return http_requests.read_head(self.rfile)
@@ -392,7 +356,7 @@
         self, exchange: Exchange, head: http_requests.Head
     ) -> dict[str, Any]:
         """Build the WSGI environment of a request."""
-        environ: dict[str, Any] = self.server.get_environ()
+        environ: dict[str, Any] = {}
         path, _, query = head.target.partition("?")
         environ.update(head.fields)
         environ["REQUEST_METHOD"] = head.method
@@ -414,7 +378,7 @@
         self, exchange: Exchange, head: http_requests.Head
     ) -> None:
         try:
-            parts: Iterable[bytes] = self.server.app(
+            parts: Iterable[bytes] = self.app(
                 self._make_environ(exchange, head), exchange.start_response
             )
         except (OSError, EOFError):
@@ -505,20 +469,21 @@
         exchange.respond(body)
 
 
-def has_unread(sock: Any) -> bool:
-    """Return whether bytes of the peer of a green socket wait to be read."""
+def is_connected(sock: Any) -> bool:
+    """Return whether the peer of a green socket is still connected."""
     try:
-        return bool(sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        data = sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
     except OSError:
         return False
+    return bool(data)
 
 
-def is_connected(sock: Any) -> bool:
-    """Return whether the peer of a green socket is still connected."""
+def has_unread_data(sock: Any) -> bool:
+    """Return whether bytes of the peer of a green socket wait to be read."""
     try:
         data = sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return True
     except OSError:
         return False
     return bool(data)
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -10,8 +10,10 @@
 
 from hickorythread import accept_queue
 from hickorythread import codec
+from hickorythread import descriptors
 from hickorythread import events as base_events
 from hickorythread import exceptions
+from hickorythread import http_listener
 from hickorythread import http_protocol
 from hickorythread import interfaces as base_interfaces
 from hickorythread import keepalive
@@ -20,9 +22,11 @@
 from hickorythread import metrics
 from hickorythread import pipelining
 from hickorythread import process
+from hickorythread import resource_limits
 from hickorythread import server
 from hickorythread import streams
 from hickorythread import utils
+from hickorythread.mesh import connections
 from hickorythread.mesh import entry
 from hickorythread.mesh import events
 from hickorythread.mesh import exchange
@@ -55,8 +59,6 @@
 QUIET_PERIOD_SECONDS = 0.6
 # A flood of new connections does not delay a stop for longer.
 MAX_ACCEPT_SECONDS = 0.3
-# A client sends its first request at most so long after it has connected.
-FIRST_REQUEST_SECONDS = 0.1
 
 
 class Node(process.Process):
@@ -123,14 +125,23 @@
             clock,
             random_source,
             self._view_changed,
-            self.telemetry.record_source_call,
+            self._record_source_call,
             self._log,
         )
         self.clients: dict[int, interfaces.Client] = {}
         self.backlog = pipelining.Backlog()
-        self.client_connections = http_protocol.ConnectionOptions(
-            self.backlog, closes_idle=False
+        self.client_connections = http_protocol.ConnectionOptions(self.backlog)
+        self.connections = connections.Connections(
+            self.metrics,
+            clock,
+            self._count_outgoing,
+            lambda: len(self.streams.accepted),
+            resource_limits.raise_descriptor_limit,
+        )
+        self.streams.admission = connections.ListenerAdmission(
+            self.connections, descriptors.STREAMS
         )
+        self.streams.on_shortage = self.connections.relieve
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
         self.last_number = 0
         self.reported_dropped = 0
@@ -155,17 +166,27 @@
         """
         settings = self.settings
         host_id = settings.host_id
+        limit = self.connections.update_limit()
         self.streams.listen(f"{host_id}:{settings.stream_port}")
         apps = (
-            (settings.request_address, ingress.RequestApp(self)),
-            (settings.readiness_address, ingress.ReadinessApp(self.ready)),
+            (
+                settings.request_address,
+                ingress.RequestApp(self),
+                descriptors.REQUESTS,
+            ),
+            (
+                settings.readiness_address,
+                ingress.ReadinessApp(self.ready),
+                descriptors.READINESS,
+            ),
             (
                 f"{host_id}:{settings.metrics_port}",
                 ingress.MetricsApp(self),
+                descriptors.METRICS,
             ),
         )
-        for address, app in apps:
-            self.spawn(self._serve, self.listen(address), app)
+        for address, app, use in apps:
+            self.spawn(self._serve, self.listen(address), app, use)
         for source_watcher in self.synchronizer.watchers:
             self.spawn(source_watcher.run)
         for task in (
@@ -176,7 +197,9 @@
             self._flush,
         ):
             self.spawn(task)
-        logs.info("node_started", incarnation=self.incarnation)
+        logs.info(
+            "node_started", incarnation=self.incarnation, descriptors=limit
+        )
 
     def stop(self) -> None:
         """Start a graceful shutdown that completes the running requests."""
@@ -208,7 +231,7 @@
         self.perform(self.execution.stop(now))
         self._wait_for_quiet_period(stop)
         self._close_listeners()
-        self.client_connections.drain()
+        self.client_connections.draining = True
         self._wait_while(self._is_in_use, stop.ends_at)
         self.perform(self.entry.end(self.clock.monotonic()))
         # Allows the last responses to leave the socket buffers.
@@ -226,7 +249,7 @@
                     break
                 eventlet.sleep(0)
             listener.close()
-        eventlet.sleep(FIRST_REQUEST_SECONDS)
+        eventlet.sleep(http_listener.FIRST_REQUEST_SECONDS)
 
     def _wait_while(self, condition: Callable[[], bool], until: float) -> None:
         while condition() and self.clock.monotonic() < until:
@@ -249,19 +272,25 @@
         return not (self.backlog.empty and self.execution.idle)
 
     def _is_in_use(self) -> bool:
-        return self._is_busy() or bool(self.client_connections.connections)
+        connections_open = self.connections.count(descriptors.REQUESTS)
+        return self._is_busy() or connections_open > 0
 
-    def _serve(self, listener: Any, app: Any) -> None:
+    def _serve(self, listener: Any, app: Any, use: str) -> None:
         options = None
-        if isinstance(app, ingress.RequestApp):
+        if use == descriptors.REQUESTS:
             options = self.client_connections
+        admission = connections.ListenerAdmission(self.connections, use)
+        table = self.connections.tables[use]
         try:
-            server.serve(listener, app, options)
+            server.serve(listener, app, options, admission, table)
         except OSError:
             # The listener is closed on purpose during shutdown.
             if self.accepting:
                 raise
 
+    def _count_outgoing(self) -> int:
+        return self.target.connections + len(self.streams.opened)
+
     # Tasks.
 
     def _tick(self) -> None:
@@ -312,6 +341,7 @@
             while self.decisions.flush(sys.stdout, FLUSH_LINES) == FLUSH_LINES:
                 eventlet.sleep(0)
             self._report_dropped()
+            self.connections.report()
             self.metrics.flush()
             self.target.expire(self.clock.monotonic())
 
@@ -397,6 +427,7 @@
 
     def _run_call(self, action: events.Run) -> None:
         result = self.target.run(action)
+        self._note_shortage(result)
         now = self.clock.monotonic()
         if isinstance(result, events.TargetResponse):
             actions = self.execution.handle_response(
@@ -415,9 +446,24 @@
     def _run_probe(self, action: events.Probe) -> None:
         self.target.drop_idle()
         result = self.target.probe(action.health_path)
+        self._note_shortage(result)
         now = self.clock.monotonic()
         self.perform(self.execution.handle_probe_result(result, now))
 
+    def _note_shortage(
+        self, result: events.TargetResponse | events.Failure
+    ) -> None:
+        if isinstance(result, events.Failure):
+            if result.kind == events.NO_DESCRIPTOR:
+                self.connections.relieve()
+
+    def _record_source_call(
+        self, topic: str, result: interfaces.ReadResult
+    ) -> None:
+        self.telemetry.record_source_call(topic, result)
+        if result.is_error() and result.error.kind == interfaces.NO_DESCRIPTOR:
+            self.connections.relieve()
+
     def _log(self, action: base_events.Log) -> None:
         self.metrics.count(action.event)
         if action.event == "refused":
@@ -562,6 +608,7 @@
 
     def render_metrics(self) -> bytes:
         """Return counters, gauges and durations as Prometheus text."""
+        self.connections.set_gauges()
         return self.telemetry.render(
             self.entry,
             self.execution,
