Close the idle connections of a stopping sidecar with its listeners

After the join of the accept loops an idle connection kept the stop waiting until 5.34 s of a grace time of 6 s: closing a listener does not wake the task that waits in accept() in this version of eventlet, so that the loop never closed its idle connections. The node now ends them itself, and leaves those whose request has arrived unseen.

--- a/src/hickorythread/http_listener.py
+++ b/src/hickorythread/http_listener.py
@@ -24,8 +24,6 @@
 # are closed without one.
 MAX_REFUSALS = 4
 REFUSAL_SECONDS = 1.0
-# A caller sends its first request at most so long after it has connected.
-FIRST_REQUEST_SECONDS = 0.1
 _REFUSAL_BODY = (
     b'{"reason": "connections", "message": "too many open connections"}'
 )
@@ -117,9 +115,9 @@
                     self._admit(sock)
         except hubs.IOClosed:
             # Another task has closed the listener.
-            eventlet.sleep(FIRST_REQUEST_SECONDS)
+            pass
         finally:
-            self._close_idle()
+            end_idle(self.table)
 
     def _accept(self) -> Any:
         """Return the next connection, None if there is none to be had."""
@@ -179,13 +177,16 @@
             connection.table.remove(connection)
             close(connection.sock)
 
-    def _close_idle(self) -> None:
-        for connection in list(self.table.open):
-            connection.closing = True
-            if not self.table.is_idle(connection):
-                continue
-            if not http_protocol.has_unread_data(connection.sock):
-                http_client.shut_down(connection.sock)
+
+def end_idle(table: connection_table.ConnectionTable) -> None:
+    """Close the idle connections; the others take no further requests."""
+    for connection in list(table.open):
+        connection.closing = True
+        if not table.is_idle(connection):
+            continue
+        # A request that has arrived unseen still gets a response.
+        if not http_protocol.has_unread_data(connection.sock):
+            http_client.shut_down(connection.sock)
 
 
 def close_idle(table: connection_table.ConnectionTable) -> bool:
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -59,6 +59,8 @@
 QUIET_PERIOD_SECONDS = 0.6
 # A flood of new connections does not delay a stop for longer.
 MAX_ACCEPT_SECONDS = 0.3
+# A client sends its first request at most so long after it has connected.
+FIRST_REQUEST_SECONDS = 0.1
 
 
 class Node(process.Process):
@@ -232,6 +234,7 @@
         self._wait_for_quiet_period(stop)
         self._close_listeners()
         self.client_connections.draining = True
+        http_listener.end_idle(self.connections.tables[descriptors.REQUESTS])
         self._wait_while(self._is_in_use, stop.ends_at)
         self.perform(self.entry.end(self.clock.monotonic()))
         # Allows the last responses to leave the socket buffers.
@@ -249,7 +252,7 @@
                     break
                 eventlet.sleep(0)
             listener.close()
-        eventlet.sleep(http_listener.FIRST_REQUEST_SECONDS)
+        eventlet.sleep(FIRST_REQUEST_SECONDS)
 
     def _wait_while(self, condition: Callable[[], bool], until: float) -> None:
         while condition() and self.clock.monotonic() < until:
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -296,6 +296,15 @@
             for stream in list(streams):
                 stream.close("node is stopping")
 
+    @property
+    def all_sent(self) -> bool:
+        """Return whether every message has been handed to its socket."""
+        return not any(
+            stream.send_queue
+            for streams in self.by_host.values()
+            for stream in streams
+        )
+
     def find(self, host_id: str) -> Stream | None:
         """Return an open stream to the host."""
         streams = self.by_host.get(host_id)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -276,3 +276,23 @@
         assert eventlet.connect(server.address).recv(10) == b""
     server.wait_for(lambda: len(server.table.open) == 1)
     assert not server.admission.failures
+
+
+def test_only_connections_without_a_request_end_with_the_listener():
+    """Guards against a request that has arrived and is cut unread."""
+    table = connection_table.ConnectionTable()
+    pairs = [socket.socketpair() for _ in range(3)]
+    for own_end, _ in pairs:
+        sock = greenio.GreenSocket(own_end)
+        table.add(connection_table.Connection(sock, table), 0.0)
+    (_, idle), (_, unread), (_, busy) = pairs
+    unread.send(b"GET / HTTP/1.1\r\n\r\n")
+    table.mark_busy(list(table.unused)[2])
+    http_listener.end_idle(table)
+    assert idle.recv(1) == b""
+    for caller in (unread, busy):
+        with pytest.raises(BlockingIOError):
+            caller.recv(1, socket.MSG_DONTWAIT)
+    assert all(connection.closing for connection in table.open)
+    for caller in (idle, unread, busy):
+        caller.close()
