Let the replies of a stopping sidecar leave before it exits

A node that stopped counted a call as done once its reply was in the send queue of a stream, and the exit dropped the queue. Six answers of 1.25 MB to an entry node that did not read for 1 s became six 502 at the clients, although their targets had answered with 200, and none may repeat.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -237,8 +237,7 @@
         http_listener.end_idle(self.connections.tables[descriptors.REQUESTS])
         self._wait_while(self._is_in_use, stop.ends_at)
         self.perform(self.entry.end(self.clock.monotonic()))
-        # Allows the last responses to leave the socket buffers.
-        eventlet.sleep(TICK_SECONDS)
+        self._wait_while(self._has_unsent, stop.exits_at)
         logs.info("node_stopped", unfinished=len(self.clients))
         self.finish(None)
 
@@ -272,12 +271,15 @@
             eventlet.sleep(TICK_SECONDS)
 
     def _is_busy(self) -> bool:
-        return not (self.backlog.empty and self.execution.idle)
+        return self._has_unsent() or not self.execution.idle
 
     def _is_in_use(self) -> bool:
         connections_open = self.connections.count(descriptors.REQUESTS)
         return self._is_busy() or connections_open > 0
 
+    def _has_unsent(self) -> bool:
+        return not (self.backlog.empty and self.streams.all_sent)
+
     def _serve(self, listener: Any, app: Any, use: str) -> None:
         options = None
         if use == descriptors.REQUESTS:
