--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -45,6 +45,7 @@
 _HEAD_ERROR_REASONS = {
     408: "Request Timeout",
     431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
 }
 
 
@@ -66,7 +67,7 @@
         self.backlog = backlog or pipelining.Backlog()
         self.idle_seconds = idle_seconds
         self.request_seconds = request_seconds
-        # Once set, no further request is started, on any connection.
+        # Once set, further requests are refused, on any connection.
         self.draining = False
 
 
@@ -195,8 +196,10 @@
         self.responses: pipelining.ResponseQueue[Exchange] = (
             pipelining.ResponseQueue(options.backlog)
         )
-        # Set once no further request is read.
+        # Set once no further request is read, and once the caller has been
+        # told so.
         self.closing = False
+        self.announced_close = False
         # Set while the task of the connection reads the head of a request, and
         # whether bytes of that request have arrived.
         self.receiving = False
@@ -237,6 +240,7 @@
         for item in ready:
             item.drop_content()
         if data:
+            self.announced_close = closes
             self._send(data)
         self._progressed()
 
@@ -316,13 +320,18 @@
             head = self._read_head()
         finally:
             self.receiving = self.head_begun = False
-        if self.closing or self._is_draining():
-            # Counts as not read: the connection closes without a response to
-            # it, as soon as the earlier requests have theirs.
+        if self.abandoned or self.announced_close:
+            # The caller knows that this request is not read.
             return False
         if isinstance(head, http_requests.HeadError):
             self._reject(head)
             return False
+        if self.closing or self._is_draining():
+            self._reject(
+                http_requests.HeadError(503, "process ends", "stopping"),
+                head.method,
+            )
+            return False
         exchange = Exchange(self, head)
         self.responses.add(exchange)
         self.closing = head.closes
@@ -459,11 +468,14 @@
             ):
                 bytes_left -= size
 
-    def _reject(self, error: http_requests.HeadError) -> None:
-        """Respond to a request that cannot be read; it is the last one."""
+    def _reject(
+        self, error: http_requests.HeadError, method: str = "GET"
+    ) -> None:
+        """Respond to a request that is not read further; it is the last."""
         self.closing = True
-        exchange = Exchange(self, http_requests.Head("GET", "/", "HTTP/1.1"))
-        body = f'{{"reason": "head", "message": "{error.message}"}}'.encode()
+        exchange = Exchange(self, http_requests.Head(method, "/", "HTTP/1.1"))
+        text = f'{{"reason": "{error.reason}", "message": "{error.message}"}}'
+        body = text.encode()
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
