State the kind of each task; end only for a broken invariant

Callers saw all requests of a host end without an answer for one defect: any exception in any task ended the process at once. One at the node beside a target cut the calls of all other nodes too.

A task is now that of a request, of a plane, or one without which the process cannot go on, and says so where it is started. A failed request, run or call gets 502 with the reason defect, without a claim that it has not run; a failed action stops no other one; a failed stream closes. A plane is started again with a backoff and the node is not ready meanwhile. For a broken invariant the process answers its clients and the calls of other nodes, says why and exits 5. Handlers of signals run as tasks, so that their exceptions no longer reach the event loop.

tests/test_streams.py: its handler has the two new methods; no check changes.

--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -380,6 +380,8 @@
                 error=f"{type(error).__name__}: {error}",
                 trace=traceback.format_exc(limit=-3),
             )
+            if exchange.done:
+                return
             headers = [("X-Outcome", "unknown"), ("Content-Length", "0")]
             exchange.start_response("500 Internal Server Error", headers)
             parts = []
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -225,6 +225,28 @@
             return actions + self._pause(kind, now)
         return actions + self._start_next(now)
 
+    def abandon(self, run_id: int, now: float) -> list[events.Record]:
+        """Report that the outcome of a run is unknown: its task failed."""
+        if run_id in self.runs:
+            self._end_run(run_id)
+        self.admission.running = len(self.runs)
+        for run in self.accepted.values():
+            if run.run_id == run_id:
+                return [*self._reply_unknown(run, now), *self._start_next(now)]
+        return self._start_next(now)
+
+    def end(self, now: float) -> list[events.Record]:
+        """Reply to all calls, since the process ends."""
+        self.stopping = True
+        self.admission.remove_matching(lambda slot_request: True)
+        actions: list[events.Record] = []
+        for run in list(self.accepted.values()):
+            if run.run_id:
+                actions += self._reply_unknown(run, now)
+            else:
+                actions += self._reply_not_run(run, 503, reasons.STOPPING)
+        return actions
+
     def handle_probe_result(
         self, result: events.TargetResponse | events.Failure, now: float
     ) -> list[events.Record]:
@@ -446,6 +468,11 @@
         log = self._log("refused", run.call, reason=reason)
         return [*self._finish(run, reply), log]
 
+    def _reply_unknown(self, run: Run, now: float) -> list[events.Record]:
+        reply = self._make_reply(run, messages.UNKNOWN, 502, reasons.DEFECT)
+        log = self._log_run(run, reasons.DEFECT, 502, now)
+        return [*self._finish(run, reply), log]
+
     def _finish(
         self, run: Run, reply: base_messages.Reply
     ) -> list[events.Record]:
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -1,6 +1,7 @@
 """The sidecar process: connects the planes to sockets, tasks and logs."""
 
 from collections.abc import Callable
+import functools
 import random
 import sys
 import time
@@ -34,6 +35,7 @@
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import links
 from hickorythread.mesh import messages
+from hickorythread.mesh import reasons
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import settings_file
 from hickorythread.mesh import stopping
@@ -193,17 +195,17 @@
         self.started = True
         self.streams.serve(stream_listener)
         for listener, (_, app, use) in zip(self.listeners, apps, strict=True):
-            self.spawn(self._serve, listener, app, use)
+            self.spawn_plane(use, self._serve, listener, app, use)
         for source_watcher in self.synchronizer.watchers:
-            self.spawn(source_watcher.run)
-        for task in (
-            self._tick,
-            self._check_clients,
-            self._check_links,
-            self._poll_settings_file,
-            self._flush,
+            self.spawn_plane(source_watcher.topic, source_watcher.run)
+        for name, task in (
+            ("tick", self._tick),
+            ("clients", self._check_clients),
+            ("links", self._check_links),
+            ("settings", self._poll_settings_file),
+            ("flush", self._flush),
         ):
-            self.spawn(task)
+            self.spawn_plane(name, task)
         logs.info(
             "node_started", incarnation=self.incarnation, descriptors=limit
         )
@@ -232,7 +234,9 @@
 
     def ready(self) -> bool:
         """Return whether this node is ready to serve clients."""
-        return self.view.ready and not self.stopping
+        if self.stopping or self.failure is not None:
+            return False
+        return self.view.ready and not self.planes_down()
 
     def _drain(self) -> None:
         now = self.clock.monotonic()
@@ -285,6 +289,22 @@
     def _count_outgoing(self) -> int:
         return self.target.connections + len(self.streams.opened)
 
+    def count_failure(self, kind: str, task: str) -> None:
+        """Count the failure of a task."""
+        self.metrics.count("task_failures", kind=kind, task=task)
+
+    def answer_open_requests(self) -> None:
+        """Answer clients and peers before a broken invariant ends this."""
+        self.accepting = False
+        self.client_connections.draining = True
+        now = self.clock.monotonic()
+        self.attempt(lambda: self.perform(self.execution.end(now)))
+        self.attempt(lambda: self.perform(self.entry.end(now)))
+        for number in list(self.clients):
+            self._fail_request(number)
+        # Allows the last responses to leave the socket buffers.
+        eventlet.sleep(TICK_SECONDS)
+
     # Tasks.
 
     def _tick(self) -> None:
@@ -370,9 +390,30 @@
     # Actions.
 
     def perform(self, actions: list[Any]) -> None:
-        """Execute actions in order."""
+        """Execute actions in order; one that fails stops no other."""
         for action in actions:
-            self.actions[type(action)](action)
+            try:
+                self.actions[type(action)](action)
+            except Exception as error:
+                settle = functools.partial(self._settle_action, action)
+                self.request_failed(type(action).__name__, settle, error)
+
+    def _settle_action(self, action: Any) -> None:
+        """End what depends on an action that failed."""
+        if isinstance(action, events.Respond):
+            self.drop_client(action.number)
+        elif isinstance(action, events.Send):
+            if isinstance(action.message, messages.Forward):
+                self._fail_call(action.host_id, action.message.call_id)
+
+    def _fail_call(self, host_id: str, call_id: int) -> None:
+        """End a call that may or may not have been sent."""
+        reply = base_messages.Reply(
+            call_id, messages.UNKNOWN, 502, [], b"", 0, reasons.DEFECT, 0.0, []
+        )
+        now = self.clock.monotonic()
+        self.perform(self.entry.reply(host_id, reply, now))
+        self.perform(self.execution.cancel(host_id, call_id, now))
 
     def _send(self, action: events.Send) -> None:
         message: Any = action.message
@@ -394,7 +435,10 @@
         else:
             stream = self.streams.find(host_id)
             if stream is None or not stream.send(message):
-                self.spawn(self.stream_closed, host_id, "not connected")
+                # The calls that it leaves open end at their deadlines.
+                self.spawn_request(
+                    _do_nothing, self.stream_closed, host_id, "not connected"
+                )
 
     def _send_to_self(self, message: Any, now: float) -> None:
         host_id = self.settings.host_id
@@ -411,17 +455,23 @@
             self.streams.send(host_id, action.message)
 
     def _respond(self, action: events.Respond) -> None:
-        client = self.clients.pop(action.number, None)
+        client = self.clients.get(action.number)
         if client is None:
             self.metrics.count("responses_without_client")
             return
+        client.deliver(action.response)
+        self.clients.pop(action.number, None)
         elapsed = self.clock.monotonic() - client.received_at
         self.telemetry.record_response(action, elapsed)
         self.request_duration.record(elapsed)
-        client.deliver(action.response)
 
     def _run(self, action: events.Run) -> None:
-        self.spawn(self._run_call, action)
+        settle = functools.partial(self._abandon_run, action.run_id)
+        self.spawn_request(settle, self._run_call, action)
+
+    def _abandon_run(self, run_id: int) -> None:
+        now = self.clock.monotonic()
+        self.perform(self.execution.abandon(run_id, now))
 
     def _run_call(self, action: events.Run) -> None:
         result = self.target.run(action)
@@ -439,7 +489,12 @@
         self.target.cancel(action.run_id)
 
     def _probe(self, action: events.Probe) -> None:
-        self.spawn(self._run_probe, action)
+        self.spawn_request(self._fail_probe, self._run_probe, action)
+
+    def _fail_probe(self) -> None:
+        failure = events.Failure(reasons.DEFECT)
+        now = self.clock.monotonic()
+        self.perform(self.execution.handle_probe_result(failure, now))
 
     def _run_probe(self, action: events.Probe) -> None:
         self.target.drop_idle()
@@ -571,21 +626,45 @@
     ) -> None:
         """Run a request; its response is delivered to the client."""
         self.clients[request.number] = client
-        now = self.clock.monotonic()
+        self.run_request(
+            functools.partial(self._fail_request, request.number),
+            self._enter,
+            request,
+        )
+
+    def _enter(self, request: events.Request) -> None:
         self.perform(
             self.entry.request(
                 request,
-                now,
+                self.clock.monotonic(),
                 len(self.execution.runs),
                 self.execution.running_retries,
             )
         )
 
+    def _fail_request(self, number: int) -> None:
+        """Answer a request that a defect has ended: it may have run."""
+        if number not in self.clients:
+            return
+        response = events.Response(502, [], b"", reasons.DEFECT)
+        self.perform([events.Respond(number, response)])
+        self.attempt(functools.partial(self._cancel_call, number))
+
+    def drop_client(self, number: int) -> None:
+        """Close the connection of a client without an answer."""
+        client = self.clients.pop(number, None)
+        if client is not None:
+            client.disconnect()
+
     def client_disconnected(self, number: int) -> None:
         """Cancel the request of a client that has disconnected."""
         if self.clients.pop(number, None) is not None:
-            now = self.clock.monotonic()
-            self.perform(self.entry.client_disconnected(number, now))
+            # The call that it leaves open ends at its deadline.
+            self.run_request(_do_nothing, self._cancel_call, number)
+
+    def _cancel_call(self, number: int) -> None:
+        now = self.clock.monotonic()
+        self.perform(self.entry.client_disconnected(number, now))
 
     def may_repeat(self, request: events.Request) -> bool:
         """Return whether a request may run more than once."""
@@ -617,6 +696,10 @@
         )
 
 
+def _do_nothing() -> None:
+    """Leave a failed task as it is."""
+
+
 def run(
     settings: mesh_settings.Settings,
     source: interfaces.Source,
--- a/src/hickorythread/mesh/reasons.py
+++ b/src/hickorythread/mesh/reasons.py
@@ -36,3 +36,6 @@
 SHED = "shed"
 OTHER_INSTANCE = "other-instance"
 REJECTED = frozenset((SHED, OTHER_INSTANCE))
+
+# A task of this process failed, or a broken invariant ends it.
+DEFECT = "defect"
--- a/src/hickorythread/process.py
+++ b/src/hickorythread/process.py
@@ -12,7 +12,9 @@
 from eventlet import hubs
 
 from hickorythread import binding
+from hickorythread import exceptions
 from hickorythread import logs
+from hickorythread import supervision
 from hickorythread import utils
 
 EXIT_OK = 0
@@ -22,7 +24,13 @@
 
 
 class Process:
-    """Serve as base class of processes that run until told to stop."""
+    """Serve as base class of processes that run until told to stop.
+
+    Each task is of one kind, stated where it is started. The failure of a
+    request's task fails that request, the task of a plane is started again,
+    and a broken invariant in any of them, or the failure of another task, ends
+    the process.
+    """
 
     def __init__(self) -> None:
         self.stopping = False
@@ -31,6 +39,7 @@
         self.failure: BaseException | None = None
         self.finished = eventlet_event.Event()
         self.listeners: list[Any] = []
+        self.planes: dict[str, supervision.Restarts] = {}
 
     def start(self) -> None:
         """Bind all addresses and start the tasks.
@@ -70,25 +79,125 @@
             eventlet.sleep(binding.RETRY_SECONDS)
 
     def spawn(self, task: Callable[..., Any], *arguments: Any) -> None:
-        """Start a task; see run_task() for exceptions in it."""
+        """Start a task without which the process cannot go on."""
         eventlet.spawn_n(self.run_task, task, *arguments)
 
+    def spawn_plane(
+        self, name: str, task: Callable[..., Any], *arguments: Any
+    ) -> None:
+        """Start a task that is started again when it fails."""
+        eventlet.spawn_n(self.run_plane, name, task, *arguments)
+
+    def spawn_request(
+        self,
+        settle: Callable[[], None],
+        task: Callable[..., Any],
+        *arguments: Any,
+    ) -> None:
+        """Start the task of one request; settle() ends one that failed."""
+        eventlet.spawn_n(self.run_request, settle, task, *arguments)
+
     def run_task(self, task: Callable[..., Any], *arguments: Any) -> None:
-        """Run a task; an unhandled exception in it stops the process."""
+        """Run a task; an unhandled exception in it ends the process."""
+        try:
+            task(*arguments)
+        except Exception as error:
+            self.fail(error)
+
+    def run_plane(
+        self, name: str, task: Callable[..., Any], *arguments: Any
+    ) -> None:
+        """Run a task until it returns; start it again after a failure."""
+        restarts = self.planes.setdefault(name, supervision.Restarts())
+        while not self.finished.ready():
+            try:
+                task(*arguments)
+                return
+            except exceptions.InvariantError as error:
+                self.fail(error)
+                return
+            except Exception as error:
+                delay = restarts.failed(time.monotonic())
+                self.count_failure("plane", name)
+                logs.error(
+                    "plane_failed",
+                    plane=name,
+                    retry=delay,
+                    error=describe(error),
+                    trace=format_trace(error),
+                )
+            eventlet.sleep(delay)
+
+    def run_request(
+        self,
+        settle: Callable[[], None],
+        task: Callable[..., Any],
+        *arguments: Any,
+    ) -> None:
+        """Run the task of one request; settle() ends one that failed."""
         try:
             task(*arguments)
+        except Exception as error:
+            name = getattr(task, "__name__", "task").strip("_")
+            self.request_failed(name, settle, error)
+
+    def request_failed(
+        self, name: str, settle: Callable[[], None], error: Exception
+    ) -> None:
+        """Settle a request that failed; a broken invariant ends all."""
+        if isinstance(error, exceptions.InvariantError):
+            self.fail(error)
+            return
+        self.count_failure("request", name)
+        logs.error(
+            "request_task_failed",
+            task=name,
+            error=describe(error),
+            trace=format_trace(error),
+        )
+        self.attempt(settle)
+
+    def attempt(self, step: Callable[[], None]) -> None:
+        """Take one of several last steps; log its failure."""
+        try:
+            step()
         except Exception as error:
             logs.error(
-                "task_failed",
-                error=f"{type(error).__name__}: {error}",
-                trace=traceback.format_exc(limit=-3),
+                "settling_failed",
+                error=describe(error),
+                trace=format_trace(error),
             )
-            self.finish(error)
+
+    def count_failure(self, kind: str, task: str) -> None:
+        """Count the failure of a task; does nothing by default."""
+
+    def planes_down(self) -> list[str]:
+        """Return the names of the planes that do not work now."""
+        now = time.monotonic()
+        return [
+            name
+            for name, restarts in self.planes.items()
+            if restarts.is_down(now)
+        ]
+
+    def fail(self, error: BaseException) -> None:
+        """End the process after a last answer to what is open."""
+        if self.failure is not None:
+            return
+        self.failure = error
+        logs.error(
+            "task_failed", error=describe(error), trace=format_trace(error)
+        )
+        self.attempt(self.answer_open_requests)
+        self.finish(error)
+
+    def answer_open_requests(self) -> None:
+        """Answer what is open before the end; does nothing by default."""
 
     def finish(self, failure: BaseException | None) -> None:
         """End the process; a failure is kept for the exit code."""
         if not self.finished.ready():
-            self.failure = failure
+            self.failure = self.failure or failure
             self.finished.send()
 
     def exit_code(self) -> int:
@@ -96,6 +205,16 @@
         return EXIT_OK if self.failure is None else EXIT_INVARIANT
 
 
+def describe(error: BaseException) -> str:
+    """Return the type and the message of an exception."""
+    return f"{type(error).__name__}: {error}"
+
+
+def format_trace(error: BaseException) -> str:
+    """Return the last frames of an exception."""
+    return "".join(traceback.format_exception(error, limit=-3))
+
+
 def bind(addresses: list[str]) -> list[Any]:
     """Bind all addresses and return their listening sockets.
 
@@ -129,7 +248,7 @@
         signal.SIGHUP: process.reload,
     }
     for signal_number, handler in signal_handlers.items():
-        _install_signal_handler(signal_number, handler)
+        _install_signal_handler(process, signal_number, handler)
     try:
         process.start()
     except OSError as error:
@@ -153,13 +272,20 @@
 
 
 def _install_signal_handler(
-    signal_number: int, handler: Callable[[], None]
+    process: Process, signal_number: int, handler: Callable[[], None]
 ) -> None:
-    """Install a signal handler that the hub runs between tasks.
+    """Install a signal handler that runs as a task.
 
     It never interrupts a task.
     """
     hub = hubs.get_hub()
     signal.signal(
-        signal_number, lambda *_: hub.schedule_call_global(0, handler)
+        signal_number,
+        lambda *_: hub.schedule_call_global(
+            0, eventlet.spawn_n, process.run_request, _do_nothing, handler
+        ),
     )
+
+
+def _do_nothing() -> None:
+    """Leave what a failed handler of a signal was about as it is."""
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 import copy
+import functools
 import socket
 from typing import Any
 from typing import Protocol
@@ -43,8 +44,18 @@
 class Handler(Protocol):
     """Receive the events of the streams of one node."""
 
-    def run_task(self, task: Callable[..., Any], *arguments: Any) -> None:
-        """Run a task; an exception in it must not stop the hub."""
+    def run_plane(
+        self, name: str, task: Callable[..., Any], *arguments: Any
+    ) -> None:
+        """Run a task; start it again after a failure."""
+
+    def run_request(
+        self,
+        settle: Callable[[], None],
+        task: Callable[..., Any],
+        *arguments: Any,
+    ) -> None:
+        """Run a task that concerns one stream; settle() ends a failed one."""
 
     def stream_opened(self, peer: events.Peer) -> None:
         """Handle a completed handshake."""
@@ -144,7 +155,7 @@
         if self.send_queue_bytes > MAX_SEND_QUEUE_BYTES:
             self.close("send queue full")
         elif self.writer is None:
-            self.writer = self.manager.spawn(self._drain)
+            self.writer = self.manager.spawn(self.fail, self._drain)
 
     def _send_now(self, data: bytes) -> int:
         try:
@@ -167,6 +178,10 @@
         finally:
             self.writer = None
 
+    def fail(self) -> None:
+        """Close the stream, since a task of it has failed."""
+        self.close("task failed")
+
     def read(self) -> None:
         """Read until the stream closes."""
         reason = "closed by peer"
@@ -281,13 +296,32 @@
     def serve(self, listener: Any) -> None:
         """Start accepting on a listening socket."""
         self.listener = listener
-        self.tasks.append(self.spawn(self._accept))
+        self.tasks.append(
+            eventlet.spawn(self.handler.run_plane, "streams", self._accept)
+        )
         if self.measures_clocks:
-            self.tasks.append(self.spawn(self._probe_clocks))
+            self.tasks.append(
+                eventlet.spawn(
+                    self.handler.run_plane, "clocks", self._probe_clocks
+                )
+            )
 
-    def spawn(self, task: Callable[..., Any], *arguments: Any) -> Any:
-        """Start a task that the handler runs."""
-        return eventlet.spawn(self.handler.run_task, task, *arguments)
+    def spawn(
+        self,
+        settle: Callable[[], None],
+        task: Callable[..., Any],
+        *arguments: Any,
+    ) -> Any:
+        """Start a task of one stream; settle() ends one that failed."""
+        return eventlet.spawn(
+            self.handler.run_request, settle, task, *arguments
+        )
+
+    def _spawn_connect(self, host_id: str, address: str) -> None:
+        settle = functools.partial(
+            self._connect_failed, host_id, "task failed"
+        )
+        self.spawn(settle, self._connect, host_id, address)
 
     def stop(self) -> None:
         """Close the listener and all streams."""
@@ -333,7 +367,7 @@
         for streams in self.by_host.values():
             if any(stream.address == address for stream in streams):
                 return
-        self.spawn(self._connect, "", address)
+        self._spawn_connect("", address)
 
     def close(self, host_id: str, reason: str) -> None:
         """Close all streams to a host."""
@@ -392,7 +426,7 @@
         pending = self.pending.get(host_id)
         if pending is None:
             self.pending[host_id] = [(message, local_time)]
-            self.spawn(self._connect, host_id, address)
+            self._spawn_connect(host_id, address)
         elif len(pending) < MAX_PENDING_MESSAGES:
             pending.append((message, local_time))
         else:
@@ -473,12 +507,13 @@
         stream.send(self.hello)
         if self.measures_clocks:
             stream.send(messages.ClockProbe(self.clock.monotonic()))
-        self.spawn(stream.read)
+        self.spawn(stream.fail, stream.read)
         # spawn_after_local() would cancel the timer at the end of the task
         # that opened the stream.
         eventlet.spawn_after(
             HANDSHAKE_TIMEOUT_SECONDS,
-            self.handler.run_task,
+            self.handler.run_request,
+            stream.fail,
             self._check_handshake,
             stream,
         )
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -56,6 +56,12 @@
         except Exception as error:
             self.errors.append(error)
 
+    def run_request(self, settle, task, *arguments):
+        self.run_task(task, *arguments)
+
+    def run_plane(self, name, task, *arguments):
+        self.run_task(task, *arguments)
+
     def stream_opened(self, peer):
         self.opened.append(peer)
 
--- a/tools/loopback/sidecars.py
+++ b/tools/loopback/sidecars.py
@@ -64,11 +64,17 @@
         )
         self.store.put(f"servers/{instance}", document)
 
-    def start(self, host, settings_data=..., **options):
+    def start(
+        self,
+        host,
+        settings_data=...,
+        program=("-m", "hickorythread"),
+        **options,
+    ):
         """Start the sidecar of a host; options go to subprocess.Popen.
 
-        settings_data takes the place of the settings file's content; None
-        removes the file.
+        program holds the arguments of the interpreter. settings_data takes
+        the place of the settings file's content; None removes the file.
         """
         settings = {
             "host_id": host,
@@ -97,8 +103,7 @@
                     sys.executable,
                     "-W",
                     "ignore",
-                    "-m",
-                    "hickorythread",
+                    *program,
                     "sidecar",
                     "--settings",
                     str(path),
