--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -685,8 +685,8 @@
 
     def render_metrics(self) -> bytes:
         """Return counters, gauges and durations as Prometheus text."""
-        self.metrics.set("log_lines_dropped", self._dropped_lines())
         self.connections.set_gauges()
+        self.metrics.set("log_lines_dropped", self._dropped_lines())
         return self.telemetry.render(
             self.entry,
             self.execution,
--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -1,14 +1,17 @@
 """Tests of sidecar processes that run out of file descriptors."""
 
 import http.client
+import json
 import os
 import resource
 import socket
+import struct
 import time
 
 import pytest
 
 from tools.loopback import sidecars
+from tools.loopback import target
 
 NORTH, SOUTH = sidecars.HOSTS
 LISTENERS = ("request", "readiness", "stream", "metrics")
@@ -80,14 +83,10 @@
     restart_limited(mesh, SOUTH)
     flood = open_flood(mesh, SOUTH, 200, [listener])
     try:
-        others = set(LISTENERS) - {listener}
         for _ in range(3):
             # The streams are accepted at a limited rate.
             time.sleep(1.0)
-            if "request" in others:
-                assert mesh.request(SOUTH, "/two/1")[0] == 200
-            for name in others & {"readiness", "metrics"}:
-                assert mesh.get(SOUTH, name, "/status")[0] == 200
+            assert_all_answer(mesh, set(LISTENERS) - {listener})
         assert (
             "accept_failures"
             not in mesh.get(SOUTH, "metrics", "/metrics")[1].decode()
@@ -96,6 +95,33 @@
         close_all(flood)
 
 
+def assert_all_answer(mesh, listeners):
+    if "request" in listeners:
+        assert mesh.request(SOUTH, "/two/1")[0] == 200
+    for name in listeners & {"readiness", "metrics"}:
+        assert mesh.get(SOUTH, name, "/status")[0] == 200
+
+
+def test_incomplete_requests_do_not_hold_a_listener(mesh):
+    """Guards against slow heads that occupy a listener for 30 seconds."""
+    restart_limited(mesh, SOUTH)
+    flood = open_flood(mesh, SOUTH, 200, ["request", "readiness", "metrics"])
+    for sock in flood:
+        try:
+            sock.send(b"GET / HTT")
+        except OSError:
+            # It has been refused already.
+            pass
+    # The time limit of a request, 30 s, is no defence.
+    deadline = time.monotonic() + 15.0
+    try:
+        for name in ("request", "readiness", "metrics"):
+            while mesh.get(SOUTH, name, "/two/1")[0] not in (200, 404):
+                assert time.monotonic() < deadline, name
+    finally:
+        close_all(flood)
+
+
 def test_soft_limit_is_raised_logged_and_shown(mesh):
     """Guards against a process that stays at a low soft limit."""
     restart_limited(mesh, SOUTH, LIMIT, 400)
@@ -135,3 +161,65 @@
     assert "reason=no-descriptor" in log
     assert "usable=false" not in log and "target_paused" not in log
     assert mesh.processes[SOUTH].poll() is None
+
+
+def test_settings_that_cannot_be_opened_are_read_later(mesh):
+    """Guards against a change that is lost for want of a descriptor."""
+    pid = mesh.processes[SOUTH].pid
+    _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, hard))
+    path = mesh.folder / f"{SOUTH}.json"
+    document = json.loads(path.read_text("utf-8"))
+    path.write_text(json.dumps(document | {"retry_slack": 61}), "utf-8")
+    mesh.wait_until(lambda: "event=reload_" in mesh.read_log(SOUTH))
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (hard, hard))
+    mesh.wait_until(lambda: "changed=retry_slack" in mesh.read_log(SOUTH))
+
+
+def spoil(sock, number):
+    """Leave a connection in one of the ways in which clients do."""
+    pieces = (
+        b"GET / HTT",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+        b"POST /one/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\na",
+        b"GET /two/1 HTTP/1.1\r\nHost: a.example\r\n\r\n",
+        b"",
+    )
+    try:
+        sock.send(pieces[number % len(pieces)])
+    except OSError:
+        # It has been refused, or is not open yet.
+        pass
+    if number % 3 == 0:
+        reset = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+
+
+def test_no_descriptor_stays_behind_connections_that_end_badly(mesh):
+    """Guards against descriptors that leak until none is left."""
+    before = count_descriptors(mesh, SOUTH)
+    for _ in range(20):
+        connections = open_flood(mesh, SOUTH, 100)
+        for number, sock in enumerate(connections):
+            spoil(sock, number)
+        close_all(connections)
+    mesh.wait_until(lambda: count_descriptors(mesh, SOUTH) <= before + 2)
+    assert mesh.request(SOUTH, "/two/1")[0] == 200
+
+
+def test_no_descriptor_stays_behind_peers_and_targets_that_come_and_go(mesh):
+    """Guards against descriptors that leak with each restart of a peer."""
+    before = count_descriptors(mesh, SOUTH)
+    for _ in range(3):
+        mesh.processes[NORTH].kill()
+        mesh.processes[NORTH].wait()
+        mesh.targets[SOUTH].server.shutdown()
+        mesh.targets[SOUTH].server.server_close()
+        # An open connection may outlive the listener of the target.
+        assert mesh.request(SOUTH, "/two/1")[0] in (200, 502, 503)
+        address = (SOUTH, mesh.ports["target"])
+        mesh.targets[SOUTH] = target.Target(address, "i-2")
+        mesh.start(NORTH)
+        mesh.wait_until(lambda: mesh.is_usable(SOUTH))
+        mesh.wait_until(lambda: mesh.request(SOUTH, "/two/2")[0] == 200)
+    mesh.wait_until(lambda: count_descriptors(mesh, SOUTH) <= before + 2)
