Keep the number of a process within 64 bits at any time of day

A sidecar that starts while the clock of its host shows a time after 2116 could not encode its first message to a peer: no stream opened, and the task's failure ended the process before tasks had kinds.

The number is bounded now.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -98,7 +98,7 @@
             settings.target_address, dialect, clock
         )
         random_bits = random_source.getrandbits(16)
-        self.incarnation = (time.time_ns() << 2) & ~0xFFFF | random_bits
+        self.incarnation = utils.make_incarnation(time.time_ns(), random_bits)
         self.streams = streams.StreamManager(
             base_messages.Hello(
                 settings.host_id,
--- a/src/hickorythread/node.py
+++ b/src/hickorythread/node.py
@@ -53,7 +53,7 @@
         now = clock.monotonic()
         random_bits = random_source.getrandbits(16)
         # A later process of this host gets a higher incarnation.
-        self.incarnation = (time.time_ns() << 2) & ~0xFFFF | random_bits
+        self.incarnation = utils.make_incarnation(time.time_ns(), random_bits)
         self.metrics = metrics.Metrics()
         self.decisions = logs.set_up(
             settings.host_id, self.version, settings.log_level
--- a/src/hickorythread/utils.py
+++ b/src/hickorythread/utils.py
@@ -8,6 +8,8 @@
 import xxhash
 
 RING_SIZE = 1 << 64
+# Messages carry 64 bits.
+MAX_INCARNATION = (1 << 64) - 1
 
 
 def pack_canonical(value: Any) -> bytes:
@@ -41,6 +43,15 @@
     return value
 
 
+def make_incarnation(now_ns: int, random_bits: int) -> int:
+    """Return the number of a process that starts at a time of day.
+
+    A later process of the host gets a higher one. random_bits are 16 bits.
+    """
+    shifted = min(now_ns << 2, MAX_INCARNATION)
+    return shifted & ~0xFFFF | random_bits
+
+
 class SystemClock:
     """Read the monotonic and wall clocks of the operating system."""
 
