--- a/tests/test_failed_tasks.py
+++ b/tests/test_failed_tasks.py
@@ -11,6 +11,7 @@
 DEFECTS = """
 import sys
 from hickorythread import cli, exceptions
+LINK_FAILURES = {link_failures}
 cli._patch_standard_library(locks=False)
 from hickorythread.mesh import entry, execution, node, target_client
 
@@ -37,13 +38,13 @@
 calls = []
 check_links = node.Node._check_links
 
-def fail_twice(self):
+def fail_at_first(self):
     calls.append(1)
-    if len(calls) <= 2:
+    if len(calls) <= LINK_FAILURES:
         raise RuntimeError("links")
     check_links(self)
 
-node.Node._check_links = fail_twice
+node.Node._check_links = fail_at_first
 sys.exit(cli.main(sys.argv[1:]))
 """
 
@@ -55,12 +56,18 @@
     running_mesh.close()
 
 
-@pytest.fixture
-def process(mesh):
-    """Return a sidecar of NORTH with the defects."""
+def restart(mesh, link_failures):
+    """Start the sidecar of NORTH with the defects."""
     mesh.processes[NORTH].kill()
     mesh.processes[NORTH].wait()
-    mesh.start(NORTH, program=("-c", DEFECTS))
+    defects = DEFECTS.format(link_failures=link_failures)
+    mesh.start(NORTH, program=("-c", defects))
+
+
+@pytest.fixture
+def process(mesh):
+    """Return a running sidecar of NORTH with the defects."""
+    restart(mesh, link_failures=0)
     for host in sidecars.HOSTS:
         mesh.wait_until(lambda host=host: mesh.is_ready(host))
         mesh.wait_until(lambda host=host: mesh.is_usable(host))
@@ -87,14 +94,18 @@
     assert process.poll() is None
 
 
-def test_failed_plane_starts_again(mesh, process):
-    """Guards against a process that ends for, or lives on without, a plane."""
+def test_failed_plane_starts_again(mesh):
+    """Guards against a process that ends for, or is ready without, a plane."""
+    before = mesh.read_log(NORTH).count("event=plane_failed plane=links")
+    restart(mesh, link_failures=5)
     mesh.wait_until(lambda: mesh.is_ready(NORTH))
-    assert mesh.read_log(NORTH).count("event=plane_failed plane=links") >= 2
+    log = mesh.read_log(NORTH)
+    assert log.count("event=plane_failed plane=links") == before + 5
     _, text = mesh.get(NORTH, "metrics", "/metrics")
-    name = 'hickorythread_task_failures_total{kind="plane",task="links"} 2'
+    name = 'hickorythread_task_failures_total{kind="plane",task="links"} 5'
     assert name in text.decode()
-    assert process.poll() is None
+    mesh.wait_until(lambda: mesh.is_usable(NORTH))
+    assert mesh.processes[NORTH].poll() is None
 
 
 def test_broken_invariant_answers_before_it_ends_the_process(mesh, process):
