Limit the memory of requests and responses to a budget

Callers lost every request in hand when the kernel or the platform ended a sidecar that passed its memory limit. 250 clients that each had sent 1 MB of an unfinished body raised it to 289 MB: whatever was announced was read.

The setting memory_mb now gives a budget. Bytes are counted before they are received or copied: bodies by Content-Length or chunk by chunk, calls of other nodes, incomplete messages, send queues, answers of the target, and answers that a client has not taken. Large bodies are refused first, with 503 before they are read, then all requests; what is in hand may use the rest. While the budget binds, slow senders get 408 and slow readers are closed. Connections of clients are limited to what there is memory for. Needless copies are gone: sendall() of eventlet copied the rest at each step, and idle connections kept their buffer.

--- a/src/hickorythread/connection_reader.py
+++ b/src/hickorythread/connection_reader.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 READ_CHUNK_BYTES = 65_536
+HEAD_CHUNK_BYTES = 16_384
 
 
 class ConnectionReader:
@@ -16,10 +17,17 @@
     Bytes that have arrived can be read after the deadline, but no call waits
     for more: it raises TimeoutError. So a peer that sends one byte at a time
     does not extend the time of a message. idle_timeout limits each single
-    wait, in seconds.
+    wait, in seconds. chunk_bytes limits what is received ahead.
     """
 
-    __slots__ = ("sock", "data", "position", "deadline", "idle_timeout")
+    __slots__ = (
+        "sock",
+        "data",
+        "position",
+        "deadline",
+        "idle_timeout",
+        "chunk_bytes",
+    )
 
     def __init__(self, sock: Any) -> None:
         self.sock = sock
@@ -27,6 +35,7 @@
         self.position = 0
         self.deadline = math.inf
         self.idle_timeout = math.inf
+        self.chunk_bytes = READ_CHUNK_BYTES
 
     def limit(self, seconds: float) -> None:
         """Set the deadline to so many seconds from now, math.inf for none."""
@@ -52,19 +61,36 @@
             return self._take(self.position + size)
         chunks = [self._take(len(self.data))]
         missing = size - len(chunks[0])
-        while missing > 0 and self.fill():
-            chunk = self._take(min(len(self.data), missing))
+        while missing > 0:
+            chunk = self._receive_part(missing)
+            if not chunk:
+                break
             chunks.append(chunk)
             missing -= len(chunk)
         return b"".join(chunks)
 
+    def _receive_part(self, missing: int) -> bytes:
+        """Return received bytes, none at the end of the data.
+
+        Of a long message nothing that follows it is received.
+        """
+        if missing <= HEAD_CHUNK_BYTES:
+            self.fill()
+            return self._take(min(len(self.data), missing))
+        size = min(missing, READ_CHUNK_BYTES)
+        return receive(self.sock, size, self._timeout())
+
+    def has(self, size: int) -> bool:
+        """Return whether so many bytes can be read without a wait."""
+        return len(self.data) - self.position >= size
+
     def is_empty(self) -> bool:
         """Return whether all received bytes have been read."""
         return self.position == len(self.data)
 
     def fill(self) -> bool:
         """Receive at least one more byte; return False at the end."""
-        chunk = receive(self.sock, READ_CHUNK_BYTES, self._timeout())
+        chunk = receive(self.sock, self.chunk_bytes, self._timeout())
         self.data = self.data[self.position :] + chunk
         self.position = 0
         return bool(chunk)
@@ -85,6 +111,10 @@
 
     def _take(self, end: int) -> bytes:
         result = self.data[self.position : end]
+        if end == len(self.data):
+            # An idle connection keeps no buffer.
+            self.data = b""
+            end = 0
         self.position = end
         return result
 
--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -195,18 +195,31 @@
     return response
 
 
-def read_body(response: Response, max_bytes: int) -> bytes:
+def _reserve_nothing(size: int) -> None:
+    """Count no bytes."""
+
+
+def read_body(
+    response: Response,
+    max_bytes: int,
+    reserve: Callable[[int], None] = _reserve_nothing,
+) -> bytes:
     """Return the whole body of a response.
 
-    Raises HTTPException if it is larger than max_bytes or ends early, and
+    reserve is called with a number of bytes before they are kept. Raises
+    HTTPException if it is larger than max_bytes or ends early, and
     TimeoutError after the deadline of its reader.
     """
     length = response.body_length
     if length is not None and length > max_bytes:
         raise http.client.HTTPException("response exceeds the size limit")
+    if length is not None:
+        reserve(length)
     chunks: list[bytes] = []
     size = 0
     while chunk := response.read(connection_reader.READ_CHUNK_BYTES):
+        if length is None:
+            reserve(len(chunk))
         chunks.append(chunk)
         size += len(chunk)
         if size > max_bytes:
--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -27,6 +27,7 @@
 from hickorythread import http_client
 from hickorythread import http_requests
 from hickorythread import logs
+from hickorythread import memory_budget
 from hickorythread import pipelining
 
 MAX_DISCARDED_BYTES = 2 * 1024 * 1024
@@ -52,20 +53,29 @@
     """Hold what the connections of one server share.
 
     request_seconds limits the time from the first byte of a request to the
-    last one, idle_seconds that without any byte.
+    last one, idle_seconds that without any byte. memory counts the bytes of
+    requests and responses.
     """
 
-    __slots__ = ("backlog", "idle_seconds", "request_seconds", "draining")
+    __slots__ = (
+        "backlog",
+        "idle_seconds",
+        "request_seconds",
+        "draining",
+        "memory",
+    )
 
     def __init__(
         self,
         backlog: pipelining.Backlog | None = None,
         idle_seconds: float = IDLE_SECONDS,
         request_seconds: float = REQUEST_SECONDS,
+        memory: memory_budget.MemoryBudget | None = None,
     ) -> None:
         self.backlog = backlog or pipelining.Backlog()
         self.idle_seconds = idle_seconds
         self.request_seconds = request_seconds
+        self.memory = memory or memory_budget.MemoryBudget.unlimited()
         # Once set, no further request is started, on any connection.
         self.draining = False
 
@@ -96,7 +106,10 @@
         self.head_only = head.method == "HEAD"
         self.keeps_http10 = head.is_http10
         self.body = http_requests.Body(
-            protocol.rfile, head, protocol.send_continue
+            protocol.rfile,
+            head,
+            protocol.send_continue,
+            protocol.options.memory.hold(),
         )
         self.status = ""
         self.headers: list[tuple[str, str]] = []
@@ -130,6 +143,10 @@
         self.headers = headers
         return _reject_write
 
+    def reserve(self, size: int) -> bool:
+        """Count the content of a response; return False without room."""
+        return self.protocol.hold.grow(size, memory_budget.Use.IN_HAND)
+
     def respond(self, content: bytes) -> None:
         """Send the response as soon as the earlier ones have been sent."""
         self.content = content
@@ -192,6 +209,7 @@
         self.connection = accepted.sock
         self.rfile = connection_reader.ConnectionReader(self.connection)
         self.rfile.idle_timeout = options.idle_seconds
+        self.rfile.chunk_bytes = connection_reader.HEAD_CHUNK_BYTES
         self.responses: pipelining.ResponseQueue[Exchange] = (
             pipelining.ResponseQueue(options.backlog)
         )
@@ -204,6 +222,8 @@
         self.abandoned = False
         self.waiting_task: Any = None
         self.unsent: list[bytes] = []
+        # Counts the responses that have not been sent completely.
+        self.hold = options.memory.hold()
 
     def serve(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -226,6 +246,7 @@
     def respond(self, exchange: Exchange) -> None:
         """Send the responses that a finished exchange completes."""
         if self.abandoned:
+            self.hold.release()
             return
         if self._is_draining() or exchange.wants_close():
             self.closing = True
@@ -238,8 +259,14 @@
             item.drop_content()
         if data:
             self._send(data)
+        self._release_sent()
         self._progressed()
 
+    def _release_sent(self) -> None:
+        """Give back the memory of the responses that have been sent."""
+        kept = self.responses.held_bytes + sum(map(len, self.unsent))
+        self.hold.shrink(max(0, self.hold.size - kept))
+
     def send_continue(self) -> None:
         """Ask the caller for a body, after the responses that precede it."""
         if self.wait_until(lambda: len(self.responses.open) == 1):
@@ -405,6 +432,7 @@
     def _abandon(self) -> None:
         """Tell the applications that the caller has disconnected."""
         self.closing = self.abandoned = True
+        self.hold.release()
         for exchange in self.responses.clear():
             if exchange.on_abandoned is not None:
                 exchange.on_abandoned()
@@ -427,18 +455,30 @@
             eventlet.spawn_n(self._send_rest)
 
     def _send_rest(self) -> None:
+        self.hold.wait_for_peer(self.drop, memory_budget.SLOW_READER_SECONDS)
         try:
             while self.unsent:
-                self.connection.sendall(self.unsent[0])
+                self._send_all(self.unsent[0])
                 del self.unsent[0]
+                self._release_sent()
         except OSError:
             self._abandon()
             http_client.shut_down(self.connection)
         finally:
             self.unsent.clear()
+            self.hold.end_wait()
+            self._release_sent()
             self.options.backlog.writers -= 1
             self._progressed()
 
+    def _send_all(self, data: bytes) -> None:
+        """Send without copies of the rest, as sendall() makes them."""
+        rest = memoryview(data)
+        while rest:
+            sent = self.connection.send(rest)
+            self.hold.progress(sent)
+            rest = rest[sent:]
+
     def _linger(self) -> None:
         """Discard what the caller still sends for a limited time.
 
--- a/src/hickorythread/http_requests.py
+++ b/src/hickorythread/http_requests.py
@@ -2,14 +2,20 @@
 
 from collections.abc import Callable
 import re
+from typing import Any
+
+import eventlet
+from eventlet import hubs
 
 from hickorythread import connection_reader
+from hickorythread import memory_budget
 
 MAX_HEADERS = 100
 MAX_HEAD_BYTES = 16 * 1024
 MAX_CHUNK_LINE_BYTES = 1024
 MAX_CACHED_HEADER_NAMES = 1024
 MAX_COUNT_DIGITS = 15
+MAX_PART_BYTES = 64 * 1024
 
 _TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _REQUEST_LINE = re.compile(
@@ -44,6 +50,10 @@
     """Report that the framing of a request body is invalid."""
 
 
+class BodyRefused(Exception):
+    """Report that there is no memory for more bytes of a body."""
+
+
 class Head:
     """Hold the head of one request.
 
@@ -185,17 +195,34 @@
     """Read the body of one request.
 
     send_continue is called before the first read if the caller waits for it.
+    hold counts the memory of the request. A body that arrives slowly is
+    interrupted if others need that memory.
     """
 
-    __slots__ = ("reader", "remaining", "chunked", "send_continue")
+    __slots__ = (
+        "reader",
+        "remaining",
+        "chunked",
+        "send_continue",
+        "hold",
+        "parts",
+        "task",
+        "interrupted",
+    )
 
     def __init__(
         self,
         reader: connection_reader.ConnectionReader,
         head: Head,
         send_continue: Callable[[], None],
+        hold: memory_budget.Hold,
     ) -> None:
         self.reader = reader
+        self.hold = hold
+        self.parts: list[bytes] = []
+        # The task that waits for bytes of the body.
+        self.task: Any = None
+        self.interrupted = False
         self.remaining = head.content_length
         self.chunked = head.chunked
         self.send_continue: Callable[[], None] | None = None
@@ -210,19 +237,65 @@
     def read(self, limit: int) -> bytes:
         """Return up to limit bytes, fewer only at the end of the body.
 
-        Raises BodyError if the chunks are malformed or truncated.
+        Raises BodyError if the chunks are malformed or truncated, BodyRefused
+        if there is no memory for them, and TimeoutError if the bytes come too
+        late or were reclaimed.
         """
         if self.send_continue is not None:
             self.send_continue()
             self.send_continue = None
-        if self.chunked:
-            return self._read_chunks(limit)
-        data = self.reader.read(min(limit, self.remaining))
-        self.remaining -= len(data)
-        return data
-
-    def _read_chunks(self, limit: int) -> bytes:
-        parts: list[bytes] = []
+        if self.reader.has(self.remaining) and not self.chunked:
+            return self._read_part(min(limit, self.remaining))
+        self.task = eventlet.getcurrent()
+        self.hold.wait_for_peer(
+            self.interrupt, memory_budget.SLOW_SENDER_SECONDS
+        )
+        try:
+            if self.chunked:
+                self._read_chunks(limit)
+            else:
+                self._read_counted(limit)
+            return b"".join(self.parts)
+        finally:
+            self.task = None
+            self.hold.end_wait()
+            self.parts.clear()
+
+    def interrupt(self) -> None:
+        """Drop what has arrived; the waiting task gets a TimeoutError."""
+        self.interrupted = True
+        self.parts.clear()
+        self.hold.release()
+        hubs.get_hub().schedule_call_global(0, self._wake)
+
+    def _wake(self) -> None:
+        if self.task is not None:
+            self.task.throw(TimeoutError("body arrives too slowly"))
+
+    def _read_part(self, size: int) -> bytes:
+        part = self.reader.read(size)
+        if self.interrupted:
+            raise TimeoutError("body arrives too slowly")
+        self.remaining -= len(part)
+        self.hold.progress(len(part))
+        return part
+
+    def _read_counted(self, limit: int) -> None:
+        while limit > 0 and self.remaining:
+            size = min(limit, self.remaining, MAX_PART_BYTES)
+            part = self._read_part(size)
+            self.parts.append(part)
+            limit -= size
+            if len(part) < size:
+                return
+
+    def _reserve(self, size: int) -> None:
+        """Count bytes before they are received."""
+        use = memory_budget.use_of_body(self.hold.size + size)
+        if not self.hold.grow(size, use):
+            raise BodyRefused("no memory for the body")
+
+    def _read_chunks(self, limit: int) -> None:
         while limit > 0:
             if not self.remaining:
                 self.remaining = self._read_chunk_size()
@@ -230,16 +303,15 @@
                     self._skip_trailers()
                     self.chunked = False
                     break
-            size = min(limit, self.remaining)
-            part = self.reader.read(size)
+            size = min(limit, self.remaining, MAX_PART_BYTES)
+            self._reserve(size)
+            part = self._read_part(size)
             if len(part) < size:
                 raise BodyError("body is cut short")
-            parts.append(part)
+            self.parts.append(part)
             limit -= size
-            self.remaining -= size
             if not self.remaining and self._read_line() not in _LINE_ENDINGS:
                 raise BodyError("chunk is longer than announced")
-        return b"".join(parts)
 
     def _read_chunk_size(self) -> int:
         size = parse_chunk_size(self._read_line())
--- a/src/hickorythread/mesh/connections.py
+++ b/src/hickorythread/mesh/connections.py
@@ -37,6 +37,8 @@
         self.count_streams = count_streams
         self.read_limit = read_limit
         self.shares = descriptors.Shares.from_limit(descriptors.DEFAULT_LIMIT)
+        # For how many connections of clients there is memory.
+        self.max_clients = descriptors.MAX_CONNECTIONS
         self.shortages = descriptors.Shortages()
         self.tables = {
             name: connection_table.ConnectionTable() for name in LISTENERS
@@ -51,7 +53,10 @@
 
     def limit(self, use: str) -> int:
         """Return how many connections a listener may hold."""
-        return self.shares.cap(use, self.count_outgoing())
+        cap = self.shares.cap(use, self.count_outgoing())
+        return (
+            min(cap, self.max_clients) if use == descriptors.REQUESTS else cap
+        )
 
     def count(self, use: str) -> int:
         """Return how many connections a listener holds."""
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -113,12 +113,16 @@
             return None
         return configuration.services.get(self.settings.service)
 
+    def knows(self, call_key: CallKey) -> bool:
+        """Return whether a call has come before."""
+        return call_key in self.accepted or call_key in self.finished_calls
+
     def call(
         self, host_id: str, message: messages.Forward, now: float
     ) -> list[events.Record]:
         """Run, queue or refuse a call from an entry node."""
         call_key = (host_id, message.call_id)
-        if call_key in self.accepted or call_key in self.finished_calls:
+        if self.knows(call_key):
             return [self._log("repeated_call", message)]
         deadline = now + message.remaining
         run = Run(call_key, message, deadline, now)
--- a/src/hickorythread/mesh/ingress.py
+++ b/src/hickorythread/mesh/ingress.py
@@ -5,8 +5,11 @@
 from typing import Any
 
 from hickorythread import http_protocol
+from hickorythread import http_requests
+from hickorythread import memory_budget
 from hickorythread import server
 from hickorythread.mesh import events
+from hickorythread.mesh import reasons
 
 MAX_BODY_BYTES = 1_800_000
 
@@ -26,7 +29,7 @@
 class ClientExchange:
     """Deliver the response to one request to the client's connection."""
 
-    __slots__ = ("app", "exchange", "received_at", "number")
+    __slots__ = ("app", "exchange", "received_at", "number", "hold")
 
     def __init__(
         self,
@@ -39,6 +42,7 @@
         self.exchange = exchange
         self.received_at = received_at
         self.number = number
+        self.hold = exchange.body.hold
         exchange.on_abandoned = self._abandoned
 
     def connected(self) -> bool:
@@ -47,6 +51,7 @@
 
     def deliver(self, response: events.Response) -> None:
         """Send the response to the client."""
+        self.hold.release()
         self.app.respond(self.exchange, response, close=self.app.node.stopping)
 
     def disconnect(self) -> None:
@@ -74,11 +79,20 @@
     ) -> Iterable[bytes]:
         exchange: http_protocol.Exchange = environ["hickorythread.exchange"]
         try:
-            body = server.read_body(environ, self._body_limit())
+            body = self._read_body(environ, exchange.body)
         except server.BadRequest as error:
+            exchange.body.hold.release()
             response = events.Response(error.status, [], b"", error.reason)
             self.respond(exchange, response, close=True)
             return http_protocol.DEFERRED
+        except (http_requests.BodyRefused, MemoryError):
+            exchange.body.hold.release()
+            # If the body is unread, the connection closes.
+            self.respond(exchange, _refusal(), close=False)
+            return http_protocol.DEFERRED
+        except (OSError, EOFError):
+            exchange.body.hold.release()
+            raise
         request = self.node.dialect.read_request(
             self.node.next_number(),
             environ,
@@ -90,8 +104,22 @@
                 self, exchange, request.received_at, request.number
             )
             self.node.submit(request, client)
+        else:
+            exchange.body.hold.release()
         return http_protocol.DEFERRED
 
+    def _read_body(
+        self, environ: server.Environ, body: http_requests.Body
+    ) -> bytes:
+        """Return the body; its memory is counted before it is read."""
+        limit = self._body_limit()
+        size = body.remaining
+        if size <= limit and not body.hold.grow(
+            memory_budget.REQUEST_BYTES + size, memory_budget.use_of_body(size)
+        ):
+            raise http_requests.BodyRefused("no memory for the body")
+        return server.read_body(environ, limit)
+
     def _may_start(
         self, exchange: http_protocol.Exchange, request: events.Request
     ) -> bool:
@@ -114,6 +142,9 @@
         close: bool,
     ) -> None:
         """Send a response through an exchange."""
+        if not exchange.reserve(len(response.body)):
+            # The request may have run, which 502 does not deny.
+            response = events.Response(502, [], b"", reasons.MEMORY)
         headers = [
             (name, value)
             for name, value in self.node.dialect.response_headers(response)
@@ -129,6 +160,17 @@
         exchange.respond(body)
 
 
+def _refusal() -> events.Response:
+    """Return the response to a request for which there is no memory."""
+    return events.Response(
+        503,
+        [],
+        b"",
+        reasons.MEMORY,
+        retry_after=memory_budget.RETRY_AFTER_SECONDS,
+    )
+
+
 class ReadinessApp:
     """Serve the readiness check of the platform."""
 
--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -5,6 +5,7 @@
 
 import expression
 
+from hickorythread import memory_budget
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
 from hickorythread.mesh import models
@@ -123,10 +124,12 @@
 class Client(Protocol):
     """Stand for the client that waits for the response to one request.
 
-    received_at is the monotonic time at which the request was read.
+    received_at is the monotonic time at which the request was read. hold
+    counts the memory of the request.
     """
 
     received_at: float
+    hold: memory_budget.Hold
 
     def connected(self) -> bool:
         """Return whether the client is still connected."""
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -16,6 +16,7 @@
 from hickorythread import interfaces as base_interfaces
 from hickorythread import keepalive
 from hickorythread import logs
+from hickorythread import memory_budget
 from hickorythread import messages as base_messages
 from hickorythread import metrics
 from hickorythread import pipelining
@@ -24,6 +25,7 @@
 from hickorythread import server
 from hickorythread import streams
 from hickorythread import utils
+from hickorythread.mesh import call_memory
 from hickorythread.mesh import connections
 from hickorythread.mesh import entry
 from hickorythread.mesh import events
@@ -33,6 +35,7 @@
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import links
 from hickorythread.mesh import messages
+from hickorythread.mesh import reasons
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import settings_file
 from hickorythread.mesh import stopping
@@ -88,8 +91,13 @@
         self.request_duration = self.metrics.duration("request")
         self.entry = entry.EntryPlane(settings, self.view, random_source)
         self.execution = execution.ExecutionPlane(settings, self.view, now)
+        self.memory = memory_budget.MemoryBudget.from_memory(
+            settings.memory_mb, clock.monotonic
+        )
+        self.call_memory = call_memory.CallMemory(self.memory)
+        self.memory_tight = False
         self.target = target_client.TargetClient(
-            settings.target_address, dialect, clock
+            settings.target_address, dialect, clock, self.memory
         )
         random_bits = random_source.getrandbits(16)
         self.incarnation = (time.time_ns() << 2) & ~0xFFFF | random_bits
@@ -107,6 +115,7 @@
             random_source,
         )
         self.streams.reconnect_max = RECONNECT_MAX_SECONDS
+        self.streams.memory = self.memory
         self.streams.socket_options = keepalive.OPTIONS
         # Calls carry the time that is left, on no clock.
         self.streams.measures_clocks = False
@@ -126,7 +135,9 @@
         )
         self.clients: dict[int, interfaces.Client] = {}
         self.backlog = pipelining.Backlog()
-        self.client_connections = http_protocol.ConnectionOptions(self.backlog)
+        self.client_connections = http_protocol.ConnectionOptions(
+            self.backlog, memory=self.memory
+        )
         self.connections = connections.Connections(
             self.metrics,
             clock,
@@ -134,6 +145,9 @@
             lambda: len(self.streams.accepted),
             resource_limits.raise_descriptor_limit,
         )
+        self.connections.max_clients = memory_budget.max_connections(
+            settings.memory_mb
+        )
         self.streams.admission = connections.ListenerAdmission(
             self.connections, descriptors.STREAMS
         )
@@ -324,6 +338,23 @@
             self.connections.report()
             self.metrics.flush()
             self.target.expire(self.clock.monotonic())
+            self._check_memory()
+
+    def _check_memory(self) -> None:
+        """Log when the memory budget binds and when it ceases to."""
+        budget = self.memory
+        budget.update(self.clock.monotonic())
+        if budget.binding == self.memory_tight:
+            return
+        self.memory_tight = budget.binding
+        logs.warning(
+            "memory_budget",
+            binding=budget.binding,
+            used=budget.used,
+            capacity=budget.capacity,
+            refused=sum(budget.refused.values()),
+            reclaimed=budget.reclaimed,
+        )
 
     def _report_dropped(self) -> None:
         """Log how many lines were dropped, at most once per second."""
@@ -361,18 +392,26 @@
         host_id = action.host_id
         now = self.clock.monotonic()
         if isinstance(message, base_messages.Reply):
+            key = (host_id, message.call_id)
+            self.call_memory.release(key)
             if host_id == self.settings.host_id:
                 self.perform(self.entry.reply(host_id, message, now))
                 return
             # A reply is sent only on the stream that carried its call, so that
             # a restarted entry node never receives replies to the calls of
             # its predecessor.
-            key = (host_id, message.call_id)
             stream = self.reply_streams.pop(key, None)
+            if not self.call_memory.may_queue(len(message.body)):
+                message = call_memory.without_body(message)
             if stream is None or not stream.send(message):
                 self.metrics.count("replies_without_stream")
         elif host_id == self.settings.host_id:
             self._send_to_self(message, now)
+        elif isinstance(
+            message, messages.Forward
+        ) and not self.call_memory.may_queue(len(message.body)):
+            refusal = call_memory.refuse(message)
+            self.perform(self.entry.reply(host_id, refusal, now))
         else:
             stream = self.streams.find(host_id)
             if stream is None or not stream.send(message):
@@ -502,9 +541,7 @@
         if message_type is base_messages.Reply:
             self.perform(self.entry.reply(host_id, message, now))
         elif message_type is messages.Forward:
-            self.reply_streams[host_id, message.call_id] = stream
-            message.remaining = entry.bounded_remaining(message)
-            self.perform(self.execution.call(host_id, message, now))
+            self._call_received(stream, host_id, message, now)
         elif message_type is base_messages.Cancel:
             self.perform(self.execution.cancel(host_id, message.call_id, now))
         elif message_type is messages.TargetState:
@@ -525,6 +562,23 @@
             self.execution.record_crash(message, now)
         self.synchronizer.version_seen(host_id, received.version)
 
+    def _call_received(
+        self,
+        stream: streams.Stream,
+        host_id: str,
+        message: messages.Forward,
+        now: float,
+    ) -> None:
+        key = (host_id, message.call_id)
+        if not self.execution.knows(key):
+            if not self.call_memory.accept(key, message):
+                self.metrics.count("refusals", reason=reasons.MEMORY)
+                stream.send(call_memory.refuse(message))
+                return
+            self.reply_streams[key] = stream
+        message.remaining = entry.bounded_remaining(message)
+        self.perform(self.execution.call(host_id, message, now))
+
     def message_refused(
         self, address: str, error: exceptions.DecodeError
     ) -> None:
@@ -565,9 +619,18 @@
 
     def client_disconnected(self, number: int) -> None:
         """Cancel the request of a client that has disconnected."""
-        if self.clients.pop(number, None) is not None:
-            now = self.clock.monotonic()
-            self.perform(self.entry.client_disconnected(number, now))
+        client = self.clients.pop(number, None)
+        if client is None:
+            return
+        now = self.clock.monotonic()
+        pending = self.entry.calls.by_number.get(number)
+        self.perform(self.entry.client_disconnected(number, now))
+        key = (pending.host_id, pending.call_id) if pending else None
+        if key is not None and key in self.execution.accepted:
+            # The local target still reads the body.
+            self.call_memory.adopt(key, client.hold)
+        else:
+            client.hold.release()
 
     def may_repeat(self, request: events.Request) -> bool:
         """Return whether a request may run more than once."""
@@ -594,6 +657,7 @@
             self.execution,
             self.synchronizer,
             self.backlog,
+            self.memory,
             self.clock.monotonic(),
         )
 
--- a/src/hickorythread/mesh/reasons.py
+++ b/src/hickorythread/mesh/reasons.py
@@ -4,7 +4,9 @@
 EXPECTED_WAIT = "expected-wait"
 QUEUE_FULL = "queue-full"
 WAITED_TOO_LONG = "waited-too-long"
-OVERLOAD = frozenset((EXPECTED_WAIT, QUEUE_FULL, WAITED_TOO_LONG))
+# The process has no memory left for the request or for its response.
+MEMORY = "memory"
+OVERLOAD = frozenset((EXPECTED_WAIT, QUEUE_FULL, WAITED_TOO_LONG, MEMORY))
 
 # The request rate that the target names leaves no start in time.
 RATE_LIMIT = "rate-limit"
--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -3,6 +3,7 @@
 import http.client
 from typing import Any
 
+import eventlet
 import urllib3
 
 from hickorythread import descriptors
@@ -10,10 +11,12 @@
 from hickorythread import http_requests
 from hickorythread import interfaces as base_interfaces
 from hickorythread import keepalive
+from hickorythread import memory_budget
 from hickorythread import utils
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
+from hickorythread.mesh import reasons
 
 MAX_RESPONSE_BYTES = 1_900_000
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -26,6 +29,8 @@
 IDLE_TIMEOUT_FRACTION = 0.7
 MAX_RESPONSES_PER_REQUEST = 4
 MAX_REQUESTS_PER_CONNECTION = 1000
+# How often a response that has no memory yet asks again.
+MEMORY_CHECK_SECONDS = 0.02
 BODYLESS_METHODS = frozenset(("GET", "HEAD", "DELETE"))
 
 
@@ -57,11 +62,12 @@
 class _ActiveRequest:
     """Hold the state of a running request that another task can cancel."""
 
-    __slots__ = ("sock", "cancelled")
+    __slots__ = ("sock", "cancelled", "hold")
 
-    def __init__(self) -> None:
+    def __init__(self, hold: memory_budget.Hold) -> None:
         self.sock: Any = None
         self.cancelled = False
+        self.hold = hold
 
 
 class _StaleConnectionError(Exception):
@@ -76,7 +82,9 @@
         address: str,
         dialect: interfaces.Dialect,
         clock: base_interfaces.Clock,
+        memory: memory_budget.MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory or memory_budget.MemoryBudget.unlimited()
         self.dialect = dialect
         self.clock = clock
         self.host, self.port = utils.split_address(address)
@@ -91,12 +99,18 @@
     def run(
         self, action: events.Run
     ) -> events.TargetResponse | events.Failure:
-        """Send a request once and wait for its response."""
-        active = _ActiveRequest()
+        """Send a request once and wait for its response.
+
+        The memory of the response is counted until it is returned.
+        """
+        active = _ActiveRequest(self.memory.hold())
         self.active_requests[action.run_id] = active
         try:
             result = self._run(action, active)
+        except MemoryError:
+            result = events.Failure(reasons.MEMORY)
         finally:
+            active.hold.release()
             del self.active_requests[action.run_id]
         if isinstance(result, events.Failure) and active.cancelled:
             if result.kind in ("lost", "timeout"):
@@ -175,7 +189,7 @@
         active.sock = connection.sock
         try:
             self._send(connection, action, remaining)
-            response, body = self._receive(connection, action)
+            response, body = self._receive(connection, action, active)
             reusable = not response.will_close and connection.reader.is_empty()
             if reusable:
                 self._keep(target_connection, action.call, response)
@@ -224,22 +238,40 @@
         http_client.send(connection.sock, head, call.body, remaining)
 
     def _receive(
-        self, connection: http_client.Connection, action: events.Run
+        self,
+        connection: http_client.Connection,
+        action: events.Run,
+        active: _ActiveRequest,
     ) -> tuple[http_client.Response, bytes]:
         """Read the response to a call; skip responses to earlier calls."""
+
+        def reserve(size: int) -> None:
+            self._reserve(active, size, action.deadline)
+
         for _ in range(MAX_RESPONSES_PER_REQUEST):
             response = http_client.read_response_head(
                 connection,
                 action.call.method,
                 http_client.CloseDelimitedResponse,
             )
-            body = http_client.read_body(response, MAX_RESPONSE_BYTES)
+            body = http_client.read_body(response, MAX_RESPONSE_BYTES, reserve)
             if self.dialect.matches_call(action.call, response.fields):
                 return response, body
             if response.will_close:
                 break
         raise http.client.HTTPException("response belongs to another request")
 
+    def _reserve(
+        self, active: _ActiveRequest, size: int, deadline: float
+    ) -> None:
+        """Count a response before it is read; waits for room."""
+        use = memory_budget.Use.IN_HAND
+        while not active.hold.grow(size, use):
+            while not self.memory.has_room(size, use):
+                if active.cancelled or self.clock.monotonic() >= deadline:
+                    raise MemoryError("no memory for the response")
+                eventlet.sleep(MEMORY_CHECK_SECONDS)
+
     def _acquire(self, request_id: str) -> _TargetConnection:
         """Return a connection on which the id has not been sent before.
 
--- a/src/hickorythread/mesh/telemetry.py
+++ b/src/hickorythread/mesh/telemetry.py
@@ -1,5 +1,6 @@
 """Metrics of one sidecar, with a bounded number of label values."""
 
+from hickorythread import memory_budget
 from hickorythread import metrics
 from hickorythread import pipelining
 from hickorythread.mesh import entry
@@ -53,11 +54,13 @@
         execution_plane: execution.ExecutionPlane,
         node_synchronizer: synchronizer.Synchronizer,
         backlog: pipelining.Backlog,
+        memory: memory_budget.MemoryBudget,
         now: float,
     ) -> bytes:
         """Return all metrics in the Prometheus text format."""
         self.metrics.set("open_requests", backlog.requests)
         self.metrics.set("held_response_bytes", backlog.held_bytes)
+        self._set_memory_gauges(memory)
         self._set_target_gauges(execution_plane)
         self._set_view_gauges(node_synchronizer, now)
         for service, tokens in entry_plane.budget.tokens.items():
@@ -68,6 +71,14 @@
             )
         return self.metrics.render()
 
+    def _set_memory_gauges(self, memory: memory_budget.MemoryBudget) -> None:
+        self.metrics.set("memory_used_bytes", memory.used)
+        self.metrics.set("memory_budget_bytes", memory.capacity)
+        self.metrics.set("memory_binding", memory.binding)
+        self.metrics.set("memory_reclaimed", memory.reclaimed)
+        for use, count in memory.refused.items():
+            self.metrics.set("memory_refused", count, use=use.name.lower())
+
     def _set_target_gauges(self, plane: execution.ExecutionPlane) -> None:
         running, waiting, limit, *_ = plane.admission.load()
         self.metrics.set("target_running", running)
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -16,6 +16,7 @@
 from hickorythread import exceptions
 from hickorythread import http_listener
 from hickorythread import interfaces
+from hickorythread import memory_budget
 from hickorythread import messages
 from hickorythread import readers
 from hickorythread import token_bucket
@@ -75,6 +76,8 @@
         "decoder",
         "send_queue",
         "send_queue_bytes",
+        "queued",
+        "received",
         "writer",
         "closed",
         "clock_offset",
@@ -98,6 +101,9 @@
         self.decoder = codec.Decoder()
         self.send_queue: collections.deque[bytes] = collections.deque()
         self.send_queue_bytes = 0
+        # Count the memory of the send queue and of an incomplete message.
+        self.queued = manager.memory.hold()
+        self.received = manager.memory.hold()
         self.writer: Any = None
         self.closed = False
         self.clock_offset = deadlines.ClockOffset()
@@ -139,6 +145,9 @@
             data = data[self._send_now(data) :]
             if not data:
                 return
+        if not self.queued.grow(len(data), memory_budget.Use.IN_HAND):
+            self.close("no memory for the send queue")
+            return
         self.send_queue.append(data)
         self.send_queue_bytes += len(data)
         if self.send_queue_bytes > MAX_SEND_QUEUE_BYTES:
@@ -156,17 +165,34 @@
             return len(data)
 
     def _drain(self) -> None:
+        self.queued.wait_for_peer(
+            self._end_slow, memory_budget.SLOW_READER_SECONDS
+        )
         try:
             while self.send_queue:
                 data = self.send_queue[0]
-                self.sock.sendall(data)
-                self.send_queue.popleft()
-                self.send_queue_bytes -= len(data)
+                self._send_all(data)
+                if not self.closed:
+                    self.send_queue.popleft()
+                    self.send_queue_bytes -= len(data)
+                    self.queued.shrink(len(data))
         except OSError as error:
             self.close(f"write failed: {error.strerror}")
         finally:
+            self.queued.end_wait()
             self.writer = None
 
+    def _send_all(self, data: bytes) -> None:
+        """Send without copies of the rest, as sendall() makes them."""
+        rest = memoryview(data)
+        while rest:
+            sent = self.sock.send(rest)
+            self.queued.progress(sent)
+            rest = rest[sent:]
+
+    def _end_slow(self) -> None:
+        self.close("peer does not read and memory is short")
+
     def read(self) -> None:
         """Read until the stream closes."""
         reason = "closed by peer"
@@ -179,6 +205,9 @@
                 results = self.decoder.feed(data)
                 for result in results:
                     self.manager.handle_decoded(self, result)
+                if not self._count_received():
+                    reason = "no memory for a message"
+                    break
                 if self._hello_too_large():
                     reason = "handshake is too large"
                     error = exceptions.DecodeError("oversized", reason, True)
@@ -193,8 +222,18 @@
             reason = "closed"
         except OSError as error:
             reason = f"read failed: {error.strerror}"
+        except MemoryError:
+            reason = "no memory for a message"
         self.close(reason)
 
+    def _count_received(self) -> bool:
+        """Count the bytes of an incomplete message; False without room."""
+        change = self.decoder.incomplete_bytes - self.received.size
+        if change > 0:
+            return self.received.grow(change, memory_budget.Use.IN_HAND)
+        self.received.shrink(-change)
+        return True
+
     def _hello_too_large(self) -> bool:
         """Return whether an unknown peer fills the buffer."""
         if self.peer is not None:
@@ -219,6 +258,8 @@
             return
         self.closed = True
         self.send_queue.clear()
+        self.queued.release()
+        self.received.release()
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -248,6 +289,7 @@
         self.pending: dict[str, list[tuple[Any, float | None]]] = {}
         self.backoffs: dict[str, readers.Backoff] = {}
         self.retry_at: dict[str, float] = {}
+        self.memory = memory_budget.MemoryBudget.unlimited()
         self.accept_limiter = token_bucket.TokenBucket(
             ACCEPTS_PER_SECOND, ACCEPTS_PER_SECOND, clock.monotonic()
         )
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -1,6 +1,9 @@
 """Tests of sidecar processes under a memory limit, with real connections."""
 
+import re
+import resource
 import selectors
+import signal
 import socket
 import time
 
@@ -15,6 +18,7 @@
 NORTH, SOUTH = sidecars.HOSTS
 MEMORY_MB = 128
 BODY_BYTES = 1_000_000
+ADDRESS_SPACE_BYTES = 48 << 20
 # Longer than the time that a client has for one request.
 SETTLE_SECONDS = 100.0
 
@@ -35,6 +39,13 @@
     raise AssertionError("the process has ended")
 
 
+def read_gauge(mesh, name):
+    """Return a metric of the sidecar that the tests press on."""
+    _, text = mesh.get(SOUTH, "metrics", "/metrics")
+    values = re.findall(rb"\nhickorythread_%s (\S+)" % name.encode(), text)
+    return float(values[0])
+
+
 class Clients:
     """Drive many connections of clients, none of which blocks."""
 
@@ -43,7 +54,7 @@
         self.unsent = {}
         self.replies = {}
         self.closed = set()
-        for number in range(count):
+        for _ in range(count):
             sock = socket.socket()
             if receive_bytes:
                 sock.setsockopt(
@@ -51,8 +62,14 @@
                 )
             sock.connect((host, mesh.ports["request"]))
             sock.setblocking(False)
-            self.unsent[sock] = memoryview(data % number)
+            self.unsent[sock] = b""
             self.replies[sock] = b""
+        self.queue(data)
+
+    def queue(self, data):
+        """Queue bytes on every connection; %d is replaced by its number."""
+        for number, sock in enumerate(self.unsent):
+            self.unsent[sock] = memoryview(data.replace(b"%d", b"%d" % number))
             self.selector.register(sock, selectors.EVENT_WRITE)
 
     def send(self, seconds):
@@ -108,7 +125,8 @@
     """Return the head of a request whose id has one place for a number."""
     return (
         f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
-        f"Hickorythread-Attempt-Id: id-%d\r\nContent-Length: {length}\r\n\r\n"
+        f"Hickorythread-Attempt-Id: {path}-%d\r\n"
+        f"Content-Length: {length}\r\n\r\n"
     ).encode()
 
 
@@ -166,11 +184,16 @@
     """Guards against clients that do not read and fill the memory."""
     for target in mesh.targets.values():
         target.padding = b"a" * BODY_BYTES
-    head = make_head("GET", "/two/x")
+    head = make_head("GET", "/two/0")
     clients = Clients(mesh, SOUTH, 400, head, receive_bytes=4096)
     try:
         clients.send(10.0)
-        time.sleep(3.0)
+        # The buffers of the sockets take the first answers.
+        for number in range(1, 8):
+            mesh.wait_until(lambda: read_gauge(mesh, "open_requests") == 0)
+            clients.queue(make_head("GET", f"/two/{number}"))
+            clients.send(10.0)
+        mesh.wait_until(lambda: read_gauge(mesh, "memory_reclaimed") > 0)
         for target in mesh.targets.values():
             target.padding = b""
         mesh.wait_until(lambda: mesh.request(SOUTH, "/two/1")[0] == 200)
@@ -187,6 +210,26 @@
         clients.close()
 
 
+def test_bodies_for_a_stopped_peer_stay_within_the_memory(mesh):
+    """Guards against copies of bodies that wait for a peer that is frozen."""
+    mesh.register(SOUTH, phase="draining")
+    mesh.wait_until(lambda: mesh.request(SOUTH, "/two/1")[2][:3] == b"i-1")
+    mesh.processes[NORTH].send_signal(signal.SIGSTOP)
+    head = make_head("POST", "/two/x", BODY_BYTES)
+    clients = Clients(mesh, SOUTH, 200, head + b"a" * BODY_BYTES)
+    try:
+        clients.send(10.0)
+        assert mesh.is_ready(SOUTH)
+        clients.read_all(SETTLE_SECONDS)
+        assert read_memory(mesh, SOUTH) < MEMORY_MB
+        assert set(clients.statuses()) <= {503, 502, 504, 0}
+        mesh.processes[NORTH].send_signal(signal.SIGCONT)
+        mesh.wait_until(lambda: mesh.request(SOUTH, "/two/1")[0] == 200)
+        check_survived(mesh, SOUTH)
+    finally:
+        clients.close()
+
+
 def test_streams_of_small_messages_keep_little_memory(mesh):
     """Guards against a buffer of 1 MiB for every stream ever used."""
     hello = messages.Hello("10.0.0.9", 1, "north", "hobart", 1)
@@ -228,3 +271,27 @@
     finally:
         for sock in peers:
             sock.close()
+
+
+def test_failed_allocations_do_not_end_the_process(mesh):
+    """Guards against a process that ends when it gets no more memory."""
+    mesh.processes[SOUTH].kill()
+    mesh.processes[SOUTH].wait()
+    mesh.settings["memory_mb"] = 1024
+    mesh.start(SOUTH)
+    mesh.wait_until(lambda: mesh.is_usable(SOUTH))
+    size = int(read_memory(mesh, SOUTH, "VmSize") * (1 << 20))
+    limit = size + ADDRESS_SPACE_BYTES
+    resource.prlimit(
+        mesh.processes[SOUTH].pid, resource.RLIMIT_AS, (limit, limit)
+    )
+    head = make_head("POST", "/two/x", BODY_BYTES + 1)
+    clients = Clients(mesh, SOUTH, 150, head + b"a" * BODY_BYTES)
+    try:
+        clients.send(10.0)
+    finally:
+        clients.close()
+    assert mesh.processes[SOUTH].poll() is None
+    mesh.wait_until(lambda: mesh.request(SOUTH, "/two/1")[0] == 200)
+    check_large_requests(mesh, SOUTH)
+    assert mesh.processes[SOUTH].poll() is None
