Count the memory of small requests at less cost

Callers saw requests served a little later than before the memory budget: the HTTP part of a request took 154 to 160 us of processor time against 138 to 142 before, one with 100 kB 327 to 342 against 271 to 279 (client included, one process, best of five). Enum members are slow to read, and each 64 KiB of a body was joined once more.

--- a/src/hickorythread/connection_reader.py
+++ b/src/hickorythread/connection_reader.py
@@ -62,23 +62,25 @@
         chunks = [self._take(len(self.data))]
         missing = size - len(chunks[0])
         while missing > 0:
-            chunk = self._receive_part(missing)
+            chunk = self.read_some(missing)
             if not chunk:
                 break
             chunks.append(chunk)
             missing -= len(chunk)
         return b"".join(chunks)
 
-    def _receive_part(self, missing: int) -> bytes:
-        """Return received bytes, none at the end of the data.
+    def read_some(self, size: int) -> bytes:
+        """Return from 1 to size bytes, none at the end of the data.
 
         Of a long message nothing that follows it is received.
         """
-        if missing <= HEAD_CHUNK_BYTES:
+        buffered = len(self.data) - self.position
+        if not buffered and size > HEAD_CHUNK_BYTES:
+            size = min(size, READ_CHUNK_BYTES)
+            return receive(self.sock, size, self._timeout())
+        if not buffered:
             self.fill()
-            return self._take(min(len(self.data), missing))
-        size = min(missing, READ_CHUNK_BYTES)
-        return receive(self.sock, size, self._timeout())
+        return self._take(min(len(self.data), self.position + size))
 
     def has(self, size: int) -> bool:
         """Return whether so many bytes can be read without a wait."""
--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -145,7 +145,7 @@
 
     def reserve(self, size: int) -> bool:
         """Count the content of a response; return False without room."""
-        return self.protocol.hold.grow(size, memory_budget.Use.IN_HAND)
+        return self.protocol.hold.grow(size, memory_budget.IN_HAND)
 
     def respond(self, content: bytes) -> None:
         """Send the response as soon as the earlier ones have been sent."""
@@ -264,8 +264,11 @@
 
     def _release_sent(self) -> None:
         """Give back the memory of the responses that have been sent."""
-        kept = self.responses.held_bytes + sum(map(len, self.unsent))
-        self.hold.shrink(max(0, self.hold.size - kept))
+        kept = self.responses.held_bytes
+        if self.unsent:
+            kept += sum(map(len, self.unsent))
+        if self.hold.size > kept:
+            self.hold.shrink(self.hold.size - kept)
 
     def send_continue(self) -> None:
         """Ask the caller for a body, after the responses that precede it."""
--- a/src/hickorythread/http_requests.py
+++ b/src/hickorythread/http_requests.py
@@ -273,7 +273,10 @@
             self.task.throw(TimeoutError("body arrives too slowly"))
 
     def _read_part(self, size: int) -> bytes:
-        part = self.reader.read(size)
+        return self._count(self.reader.read(size))
+
+    def _count(self, part: bytes) -> bytes:
+        """Count received bytes; raise TimeoutError if they were reclaimed."""
         if self.interrupted:
             raise TimeoutError("body arrives too slowly")
         self.remaining -= len(part)
@@ -282,12 +285,13 @@
 
     def _read_counted(self, limit: int) -> None:
         while limit > 0 and self.remaining:
-            size = min(limit, self.remaining, MAX_PART_BYTES)
-            part = self._read_part(size)
-            self.parts.append(part)
-            limit -= size
-            if len(part) < size:
+            part = self._count(
+                self.reader.read_some(min(limit, self.remaining))
+            )
+            if not part:
                 return
+            self.parts.append(part)
+            limit -= len(part)
 
     def _reserve(self, size: int) -> None:
         """Count bytes before they are received."""
--- a/src/hickorythread/memory_budget.py
+++ b/src/hickorythread/memory_budget.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable
-import enum
 import sys
 
 MIB = 1024 * 1024
@@ -36,13 +35,21 @@
 EndCallback = Callable[[], None]
 
 
-class Use(enum.Enum):
-    """Tell what bytes are for; the value is the share that may be in use."""
+class Use:
+    """Tell what bytes are for; share is the part that may be in use then."""
 
-    LARGE_BODY = 0.6
-    SMALL_BODY = 0.8
-    # Copies of requests and responses on their way, and responses.
-    IN_HAND = 1.0
+    __slots__ = ("name", "share")
+
+    def __init__(self, name: str, share: float) -> None:
+        self.name = name
+        self.share = share
+
+
+LARGE_BODY = Use("large_body", 0.6)
+SMALL_BODY = Use("small_body", 0.8)
+# Copies of requests and responses on their way, and responses.
+IN_HAND = Use("in_hand", 1.0)
+USES = (LARGE_BODY, SMALL_BODY, IN_HAND)
 
 
 class Hold:
@@ -72,10 +79,12 @@
 
     def grow(self, size: int, use: Use) -> bool:
         """Take more bytes; return False, with nothing taken, without room."""
-        if not self.budget.make_room(size, use):
-            return False
+        budget = self.budget
+        if budget.used + size > use.share * budget.capacity:
+            if not budget.make_room(size, use):
+                return False
         self.size += size
-        self.budget.used += size
+        budget.used += size
         return True
 
     def shrink(self, size: int) -> None:
@@ -88,7 +97,8 @@
         """Give back all bytes; may be called again."""
         self.budget.used -= self.size
         self.size = 0
-        self.end_wait()
+        if self.on_end is not None:
+            self.end_wait()
 
     def wait_for_peer(self, on_end: EndCallback, slow_after: float) -> None:
         """Let the bytes be reclaimed once the peer is slow."""
@@ -139,7 +149,7 @@
         self.monotonic = monotonic
         self.used = 0
         self.waiting: dict[Hold, None] = {}
-        self.refused = dict.fromkeys(Use, 0)
+        self.refused = dict.fromkeys(USES, 0)
         self.reclaimed = 0
         self.binding = False
         self.tight_at = 0.0
@@ -168,14 +178,14 @@
 
     def has_room(self, size: int, use: Use) -> bool:
         """Return whether so many bytes may be taken now."""
-        return self.used + size <= use.value * self.capacity
+        return self.used + size <= use.share * self.capacity
 
     def make_room(self, size: int, use: Use) -> bool:
         """Return whether bytes may be taken; ends slow holds if they help."""
-        if self.used + size <= use.value * self.capacity:
+        if self.used + size <= use.share * self.capacity:
             return True
         now = self.monotonic()
-        if size <= use.value * self.capacity:
+        if size <= use.share * self.capacity:
             self._reclaim(size, use, now)
         if self.has_room(size, use):
             return True
@@ -188,7 +198,7 @@
         """End slow holds while the budget binds; called periodically."""
         if not self.binding:
             return
-        if not self.has_room(self.capacity // CALM_DIVISOR, Use.LARGE_BODY):
+        if not self.has_room(self.capacity // CALM_DIVISOR, LARGE_BODY):
             self.tight_at = now
         self._end(self._slow_holds(now))
         if now - self.tight_at >= CALM_SECONDS:
@@ -217,7 +227,7 @@
 
 def use_of_body(size: int) -> Use:
     """Return the use of a request body of a size."""
-    return Use.SMALL_BODY if size <= SMALL_BYTES else Use.LARGE_BODY
+    return SMALL_BODY if size <= SMALL_BYTES else LARGE_BODY
 
 
 def max_connections(memory_mb: float) -> int:
--- a/src/hickorythread/mesh/call_memory.py
+++ b/src/hickorythread/mesh/call_memory.py
@@ -45,7 +45,7 @@
         Short ones always may: most leave without a queue.
         """
         return size <= memory_budget.SMALL_BYTES or self.budget.make_room(
-            2 * size, memory_budget.Use.IN_HAND
+            2 * size, memory_budget.IN_HAND
         )
 
 
--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -265,7 +265,7 @@
         self, active: _ActiveRequest, size: int, deadline: float
     ) -> None:
         """Count a response before it is read; waits for room."""
-        use = memory_budget.Use.IN_HAND
+        use = memory_budget.IN_HAND
         while not active.hold.grow(size, use):
             while not self.memory.has_room(size, use):
                 if active.cancelled or self.clock.monotonic() >= deadline:
--- a/src/hickorythread/mesh/telemetry.py
+++ b/src/hickorythread/mesh/telemetry.py
@@ -77,7 +77,7 @@
         self.metrics.set("memory_binding", memory.binding)
         self.metrics.set("memory_reclaimed", memory.reclaimed)
         for use, count in memory.refused.items():
-            self.metrics.set("memory_refused", count, use=use.name.lower())
+            self.metrics.set("memory_refused", count, use=use.name)
 
     def _set_target_gauges(self, plane: execution.ExecutionPlane) -> None:
         running, waiting, limit, *_ = plane.admission.load()
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -145,7 +145,7 @@
             data = data[self._send_now(data) :]
             if not data:
                 return
-        if not self.queued.grow(len(data), memory_budget.Use.IN_HAND):
+        if not self.queued.grow(len(data), memory_budget.IN_HAND):
             self.close("no memory for the send queue")
             return
         self.send_queue.append(data)
@@ -230,7 +230,7 @@
         """Count the bytes of an incomplete message; False without room."""
         change = self.decoder.incomplete_bytes - self.received.size
         if change > 0:
-            return self.received.grow(change, memory_budget.Use.IN_HAND)
+            return self.received.grow(change, memory_budget.IN_HAND)
         self.received.shrink(-change)
         return True
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -8,10 +8,9 @@
 from hickorythread import memory_budget
 from tests import servers
 
-Use = memory_budget.Use
 CAPACITY = 10_000_000
 SIZES = strategies.integers(0, CAPACITY)
-USES = strategies.sampled_from(list(Use))
+USES = strategies.sampled_from(memory_budget.USES)
 
 
 def make_budget(capacity=CAPACITY):
@@ -19,7 +18,7 @@
     return memory_budget.MemoryBudget(capacity, clock.monotonic), clock
 
 
-def take_slow(budget, size, slow_after, ended, use=Use.IN_HAND):
+def take_slow(budget, size, slow_after, ended, use=memory_budget.IN_HAND):
     """Return a hold that waits for its peer, and notes its end."""
     hold = budget.take(size, use)
 
@@ -48,14 +47,14 @@
             assert not self.budget.has_room(size, use)
             hold = self.budget.hold()
         self.taken.append(hold)
-        assert not hold.size or self.budget.used <= use.value * CAPACITY
+        assert not hold.size or self.budget.used <= use.share * CAPACITY
         return hold
 
     @stateful.rule(hold=holds, size=SIZES, use=USES)
     def grow(self, hold, size, use):
         before = hold.size
         if hold.grow(size, use):
-            assert self.budget.used <= use.value * CAPACITY
+            assert self.budget.used <= use.share * CAPACITY
         else:
             assert hold.size in (0, before)
 
@@ -104,12 +103,12 @@
 def test_small_bodies_and_answers_have_a_reserve():
     """Guards against large bodies that leave no room for small requests."""
     budget, _ = make_budget()
-    while budget.take(1_000_000, Use.LARGE_BODY):
+    while budget.take(1_000_000, memory_budget.LARGE_BODY):
         pass
-    while budget.take(1_000, Use.SMALL_BODY):
+    while budget.take(1_000, memory_budget.SMALL_BODY):
         pass
     assert budget.used == 8_000_000
-    assert budget.take(1_000_000, Use.IN_HAND)
+    assert budget.take(1_000_000, memory_budget.IN_HAND)
 
 
 def test_slow_senders_end_before_slow_readers_and_only_as_needed():
@@ -124,9 +123,9 @@
         budget, 5_000_000, memory_budget.SLOW_SENDER_SECONDS, ended
     )
     clock.now += 10.0
-    assert budget.take(1_000_000, Use.LARGE_BODY)
+    assert budget.take(1_000_000, memory_budget.LARGE_BODY)
     assert ended == [sender]
-    assert budget.take(1_500_000, Use.LARGE_BODY)
+    assert budget.take(1_500_000, memory_budget.LARGE_BODY)
     assert ended == [sender, reader]
 
 
@@ -138,11 +137,11 @@
     for _ in range(10):
         clock.now += 1.0
         hold.progress(memory_budget.PROGRESS_BYTES)
-        assert budget.take(2_000_000, Use.IN_HAND) is None
+        assert budget.take(2_000_000, memory_budget.IN_HAND) is None
     clock.now += 1.5
     hold.progress(memory_budget.PROGRESS_BYTES - 1)
     clock.now += 0.6
-    assert budget.take(2_000_000, Use.IN_HAND)
+    assert budget.take(2_000_000, memory_budget.IN_HAND)
     assert ended == [hold]
 
 
@@ -152,7 +151,7 @@
     ended = []
     take_slow(budget, 1_000_000, 2.0, ended)
     clock.now += 5.0
-    assert budget.take(CAPACITY, Use.LARGE_BODY) is None
+    assert budget.take(CAPACITY, memory_budget.LARGE_BODY) is None
     assert not ended
 
 
@@ -160,9 +159,9 @@
     """Guards against a state that flaps with every refused request."""
     budget, clock = make_budget()
     ended = []
-    take_slow(budget, 6_000_000, 2.0, ended, Use.LARGE_BODY)
-    assert budget.take(1_000, Use.LARGE_BODY) is None
-    assert budget.binding and budget.refused[Use.LARGE_BODY] == 1
+    take_slow(budget, 6_000_000, 2.0, ended, memory_budget.LARGE_BODY)
+    assert budget.take(1_000, memory_budget.LARGE_BODY) is None
+    assert budget.binding and budget.refused[memory_budget.LARGE_BODY] == 1
     clock.now += 1.5
     budget.update(clock.now)
     assert budget.binding and not ended
@@ -182,4 +181,4 @@
     total = budget.capacity + connections * memory_budget.CONNECTION_BYTES
     assert total < memory_mb * 0.8 * memory_budget.MIB
     # The largest body that any configuration allows fits.
-    assert budget.has_room(1_800_000, Use.LARGE_BODY)
+    assert budget.has_room(1_800_000, memory_budget.LARGE_BODY)
