Close a stream that starts with anything but a message

300 kB of text at the stream port, as of a client with the wrong port, held a real sidecar for 13.0 s: each byte was a value of its own, refused with a log line, 300,006 of them; nothing else ran. Peers fail the calls of such a host. Now a value that is no array ends the framing, and any error before the handshake closes the stream. Messages of unknown types after the handshake are skipped as before.

test_streams.py gets two more invalid starts, which failed with one refusal for each byte or message, and a process test, which failed on its log lines.

--- a/src/hickorythread/codec.py
+++ b/src/hickorythread/codec.py
@@ -95,8 +95,13 @@
         decoded: list[DecodeResult] = []
         while not self.failed:
             try:
-                decoded.append(_decode_message(self.unpacker.unpack()))
+                value = self.unpacker.unpack()
                 self.decoded_bytes = self.unpacker.tell()
+                if isinstance(value, list):
+                    decoded.append(_decode_message(value))
+                else:
+                    # Each byte of a text would be a message of its own.
+                    decoded.append(self._fail("malformed", "not an array"))
             except msgpack.OutOfData:
                 break
             except (
@@ -182,11 +187,9 @@
     )
 
 
-def _decode_message(value: Any) -> DecodeResult:
-    if not isinstance(value, list) or len(value) < HEADER_FIELD_COUNT:
-        return _error_result(
-            "malformed", "message is not an array with a header"
-        )
+def _decode_message(value: list[Any]) -> DecodeResult:
+    if len(value) < HEADER_FIELD_COUNT:
+        return _error_result("malformed", "message has no header")
     codec_version, code, version = value[:HEADER_FIELD_COUNT]
     if codec_version != CODEC_VERSION:
         return _error_result(
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -179,6 +179,10 @@
                 results = self.decoder.feed(data)
                 for result in results:
                     self.manager.handle_decoded(self, result)
+                    if self.closed:
+                        break
+                if self.closed:
+                    break
                 if self._hello_too_large():
                     reason = "handshake is too large"
                     error = exceptions.DecodeError("oversized", reason, True)
@@ -348,6 +352,8 @@
             self.handler.message_refused(stream.address, result.error)
             if result.error.fatal:
                 stream.close("framing error")
+            elif stream.peer is None:
+                stream.close("no message of a peer")
             return
         received = result.ok
         message = received.message
--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -1,5 +1,6 @@
 """Tests of sidecar processes that run out of file descriptors."""
 
+import contextlib
 import http.client
 import json
 import os
@@ -223,3 +224,15 @@
         mesh.wait_until(lambda: mesh.is_usable(SOUTH))
         mesh.wait_until(lambda: mesh.request(SOUTH, "/two/2")[0] == 200)
     mesh.wait_until(lambda: count_descriptors(mesh, SOUTH) <= before + 2)
+
+
+def test_request_at_the_stream_port_does_not_hold_the_process(mesh):
+    """Guards against a log line for each byte, during which nothing runs."""
+    before = len(mesh.read_log(SOUTH).splitlines())
+    with socket.create_connection((SOUTH, mesh.ports["stream"])) as sock:
+        with contextlib.suppress(OSError):
+            sock.sendall(b"GET / HTTP/1.1 " * 2_000)
+        assert mesh.request(SOUTH, "/two/1")[0] == 200
+    mesh.wait_until(lambda: "message_refused" in mesh.read_log(SOUTH))
+    mesh.wait_until(lambda: mesh.is_ready(SOUTH))
+    assert len(mesh.read_log(SOUTH).splitlines()) < before + 100
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,6 +14,12 @@
 INVALID_FIRST_MESSAGES = {
     "ping first": (codec.encode(messages.PushAck(1, 1), 0), ""),
     "garbage": (b"\xc1\xc1", "framing"),
+    # Each byte of it is a complete value.
+    "text": (b"GET / HTTP/1.1\r\n" * 20_000, "malformed"),
+    "unknown first": (
+        msgpack.packb([codec.CODEC_VERSION, 250, 0]) * 1000,
+        "unknown",
+    ),
     "oversized": (b"\xc6\x7f\xff\xff\xff" + bytes(3 << 20), "oversized"),
 }
 
