--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -220,6 +220,10 @@
                 results = self.decoder.feed(data)
                 for result in results:
                     self.manager.handle_decoded(self, result)
+                    if self.closed:
+                        break
+                if self.closed:
+                    break
                 if not self._count_received():
                     reason = "no memory for a message"
                     break
@@ -433,6 +437,8 @@
             self.handler.message_refused(stream.address, result.error)
             if result.error.fatal:
                 stream.close("framing error")
+            elif stream.peer is None:
+                stream.close("no message of a peer")
             return
         received = result.ok
         message = received.message
