--- a/tools/loopback/oracle.py
+++ b/tools/loopback/oracle.py
@@ -6,6 +6,7 @@
 from tools.loopback import http_messages
 from tools.loopback import records
 from tools.loopback import sidecar_process
+from tools.loopback import writers
 
 # Bounds of the platform.
 CONTACT_SECONDS = 3.0
@@ -16,6 +17,8 @@
 ROLLBACK_SLACK_SECONDS = 0.25
 # A request of this age at a SIGTERM may be cut with its target at work.
 STOP_SEND_SECONDS = 3.0
+# An answer of a node may leave so long before it is due.
+ANSWER_MARGIN_SECONDS = 0.25
 # Ends of processes are noted a little late.
 EXIT_SLACK_SECONDS = 1.0
 
@@ -139,6 +142,44 @@
                 )
         if request.status == 404:
             self._judge_missing_route(request)
+        if request.status in (502, 504):
+            self._judge_own_failure(request, runs)
+
+    def _judge_own_failure(self, request, runs):
+        """Report an answer that replaced that of a target at work."""
+        lag = self._lag(request.sent_at, request.ended_at)
+        seconds = min(request.deadline_ms, writers.TIMEOUT_MS) / 1000
+        due_at = request.sent_at + seconds - ANSWER_MARGIN_SECONDS - lag
+        at_work = [
+            run
+            for run in runs
+            if not run.broken_off
+            and (run.ended_at is None or run.ended_at > request.ended_at)
+        ]
+        if (
+            request.ended_at < due_at
+            and len(at_work) == len(runs) > 0
+            and not self._was_cut_at_end_of_grace(request, runs)
+            and not self._was_disturbed(request, runs)
+        ):
+            took = request.ended_at - request.sent_at
+            self._report(
+                "CUT",
+                request.id,
+                f"{request.status} after {took:.3f} of {seconds:g} s, at work "
+                f"at {at_work[0].instance}, {_describe_process(request)}",
+            )
+
+    def _was_disturbed(self, request, runs):
+        """Return whether a host of a request was killed or frozen."""
+        hosts = {request.host, *(run.target.host for run in runs)}
+        start = request.sent_at - CONTACT_SECONDS
+        return any(
+            span.kind in ("SIGKILL", "SIGSTOP")
+            and span.touches(host, start, request.ended_at)
+            for span in self.records.spans
+            for host in hosts
+        )
 
     def _judge_missing_route(self, request):
         for version in self._possible_versions(request):
