--- a/tools/loopback/faults.py
+++ b/tools/loopback/faults.py
@@ -461,7 +461,15 @@
 
 # Each series draws from one group.
 GROUPS = (
-    ("terminate", "kill", "freeze", "reload", "few_descriptors"),
+    (
+        "terminate",
+        "kill",
+        "freeze",
+        "reload",
+        "few_descriptors",
+        "closed_output",
+        "unread_output",
+    ),
     (
         "configure",
         "evacuate",
@@ -481,8 +489,6 @@
 KIND_PROBABILITY = 0.6
 # Faults of issue 33 that main does not withstand yet.
 OPEN_KINDS = (
-    "closed_output",
-    "unread_output",
     "port_in_use",
     "early_signal",
     "large_bodies",
