Probe the address of a target that left and has a successor

Callers got 503 (no-target) for good when the targets of a service had left as planned and others had registered at their addresses: the node beside such a target probes it only if it is paused or announces its end in responses. An end that only the entry tells, with no request on its way, led to no probe, so that the next process was never identified.

The node now probes every 2 s while its target has left and another one of the service is registered at the address, at once the first time.

--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -89,6 +89,9 @@
         self.instance = ""
         self.registration: models.Target | None = None
         self.probes = probes.ProbeSchedule()
+        # A target that has left gets no requests; only a probe shows that
+        # the one that is registered at its address has taken its place.
+        self.is_replaced = False
         self.warmup_ends_at = now
         self.down = True
         self.stopping = False
@@ -257,6 +260,7 @@
             )
             self.instance = result.instance
             self._apply_registration(now)
+            self.is_replaced = self._has_successor()
         if self._is_succeeded(self.probes.target_started_at_ms):
             # Its predecessor may have answered, so it is asked again.
             return actions + self._pause("target-succeeded", now)
@@ -303,7 +307,8 @@
             ):
                 actions += self._reply_not_run(slot_request.item, 503, reason)
         paused = self.admission.paused
-        if self.probes.is_due(paused, self.notices.ending, now):
+        ending = self.notices.ending or self.is_replaced
+        if self.probes.is_due(paused, ending, now):
             actions += self._probe(now)
         return actions + self._start_next(now) + self._announce(now)
 
@@ -312,6 +317,9 @@
     ) -> list[events.Record]:
         """Apply a new view; probe the target if its domain is restored."""
         self._apply_registration(now)
+        if not self.is_replaced and self._has_successor():
+            self.probes.hasten(now)
+        self.is_replaced = self._has_successor()
         if self.warmup_ends_at > now and not self.admission.is_warming_up(now):
             # The warm-up rate is part of the configuration, which may arrive
             # after the report of the warm-up.
@@ -345,13 +353,29 @@
         if self.doubt.is_leaving:
             return reasons.LEAVING
         target = self.view.targets.get(self.instance)
-        if target is None:
-            gone = self.instance in self.view.departed
-            gone |= self.view.ends.covers(self.instance, self._started_at_ms())
-            return reasons.LEAVING if gone else ""
-        if target.service != self.settings.service:
+        if target is not None and target.service != self.settings.service:
             return reasons.OTHER_SERVICE
-        return reasons.LEAVING if target.draining else ""
+        return reasons.LEAVING if self._has_left(target) else ""
+
+    def _has_left(self, target: models.Target | None) -> bool:
+        """Return whether the registration of the target tells its end."""
+        if target is not None:
+            return target.draining
+        return self.instance in self.view.departed or self.view.ends.covers(
+            self.instance, self._started_at_ms()
+        )
+
+    def _has_successor(self) -> bool:
+        """Return whether another target follows one that has left."""
+        if not self._has_left(self.view.targets.get(self.instance)):
+            return False
+        return any(
+            target.address == self.settings.target_address
+            and target.service == self.settings.service
+            and target.id != self.instance
+            and not target.draining
+            for target in self.view.targets.values()
+        )
 
     def _check_call(
         self, call: messages.Forward, now: float
--- a/tests/test_target_ends.py
+++ b/tests/test_target_ends.py
@@ -378,3 +378,42 @@
     assert build.of_type(actions, events.Probe)
     answer_probe(plane, 200, 1.6)
     assert plane.state().usable
+
+
+def make_plane_whose_target_is_replaced(draining):
+    """Return the plane beside t1, which left, and was followed by t9."""
+    made_view = build.make_view()
+    plane = build.make_execution(made_view)
+    if draining:
+        made_view.put_target(build.make_target(1, draining=True))
+    else:
+        made_view.remove_targets(["t1"], 1.0)
+    plane.view_changed(False, 1.0)
+    assert not plane.state().usable
+    assert not build.of_type(plane.tick(5.0), events.Probe)
+    made_view.put_target(build.make_target(1, id="t9"))
+    plane.view_changed(False, 6.0)
+    return plane
+
+
+@pytest.mark.parametrize("draining", [True, False])
+def test_process_with_another_id_that_follows_a_planned_end_is_used(draining):
+    """Guards against a replaced target that gets nothing any more."""
+    plane = make_plane_whose_target_is_replaced(draining)
+    assert build.of_type(plane.tick(6.02), events.Probe)
+    # The new process has registered before it accepts connections.
+    plane.handle_probe_result(events.Failure("connect"), 6.1)
+    assert build.of_type(plane.tick(8.1), events.Probe)
+    answer = events.TargetResponse(200, [], b"", instance="t9")
+    plane.handle_probe_result(answer, 8.2)
+    assert plane.state().usable and plane.state().instance == "t9"
+    assert not build.of_type(plane.tick(12.0), events.Probe)
+
+
+def test_process_that_has_left_is_not_used_beside_its_successor():
+    """Guards against an old process that still answers healthy (DRAIN)."""
+    plane = make_plane_whose_target_is_replaced(draining=True)
+    plane.tick(6.02)
+    answer_probe(plane, 200, 6.1)
+    assert not plane.state().usable
+    assert build.of_type(plane.tick(8.1), events.Probe)
