--- a/tools/loopback/callers.py
+++ b/tools/loopback/callers.py
@@ -18,7 +18,8 @@
 ANSWER_SECONDS = 20.0
 CONNECT_SECONDS = 5.0
 RETRY_SECONDS = 0.1
-LARGE_BYTES = 300_000
+LARGE_BYTES = (300_000, 900_000)
+MAX_PAUSE_SECONDS = 2.0
 # Part of the idle limit for which clients may leave a connection idle.
 IDLE_FRACTION = 0.8
 
@@ -246,10 +247,10 @@
 
     def exchange(self):
         request = self.make_request(
-            self.random.choice((0, 1000, LARGE_BYTES)),
-            self.random.choice((100, LARGE_BYTES)),
+            self.random.choice((0, 1000, *LARGE_BYTES)),
+            self.random.choice((100, *LARGE_BYTES)),
         )
-        pause = self.random.uniform(0.0, 0.5)
+        pause = self.random.uniform(0.0, MAX_PAUSE_SECONDS)
         is_chunked = request.body_size > 0 and self.random.random() < 0.5
         return self.connection.send(
             request, pause, is_chunked
--- a/tools/loopback/faults.py
+++ b/tools/loopback/faults.py
@@ -7,7 +7,6 @@
 import socket
 import time
 
-from tools.loopback import layout
 from tools.loopback import store_standin
 from tools.loopback import target_process
 
@@ -15,6 +14,8 @@
 START_SECONDS = 2.0
 STOP_SECONDS = 10.0
 DESCRIPTORS = 100
+# Clients would reach whoever holds the port of the requests.
+HELD_PORTS = ("readiness", "stream", "metrics")
 FLOODED_PORTS = ("request", "readiness", "metrics")
 HALF_BODY_BYTES = 200_000
 LARGE_BODY_BYTES = 950_000
@@ -425,7 +426,7 @@
         """Hold a port of a sidecar while it starts."""
         with self._reserve_hosts() as hosts:
             for host in hosts:
-                port_name = self.random.choice(layout.SIDECAR_PORT_NAMES)
+                port_name = self.random.choice(HELD_PORTS)
                 self._replace(host, signal.SIGTERM, held_port=port_name)
             return bool(hosts)
 
@@ -469,6 +470,8 @@
         "few_descriptors",
         "closed_output",
         "unread_output",
+        "port_in_use",
+        "early_signal",
     ),
     (
         "configure",
@@ -488,8 +491,4 @@
 # some kinds out.
 KIND_PROBABILITY = 0.6
 # Faults of issue 33 that main does not withstand yet.
-OPEN_KINDS = (
-    "port_in_use",
-    "early_signal",
-    "large_bodies",
-)
+OPEN_KINDS = ("large_bodies",)
--- a/tools/loopback/layout.py
+++ b/tools/loopback/layout.py
@@ -10,8 +10,7 @@
     "kingston": "south",
 }
 SERVICES = ("spec-desk", "press-room")
-SIDECAR_PORT_NAMES = ("request", "readiness", "stream", "metrics")
-PORT_NAMES = (*SIDECAR_PORT_NAMES, "target")
+PORT_NAMES = ("request", "readiness", "stream", "metrics", "target")
 # Below the ports that the system gives to outgoing connections, which could
 # take the port of a sidecar while it restarts.
 FIRST_PORT = 20_000
