--- a/src/hickorythread/mesh/settings_file.py
+++ b/src/hickorythread/mesh/settings_file.py
@@ -34,10 +34,16 @@
 class SettingsFile:
     """Apply the changes of a settings file to the settings of a process."""
 
-    def __init__(self, path: str, settings: mesh_settings.Settings) -> None:
+    def __init__(
+        self,
+        path: str,
+        settings: mesh_settings.Settings,
+        signature: FileSignature | None,
+    ) -> None:
+        """Watch a file; signature is the one from before it was read."""
         self.path = path
         self.settings = settings
-        self.signature = read_signature(self.path)
+        self.signature = signature
         self.postponed = False
 
     def changed(self) -> bool:
