--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -318,11 +318,13 @@
         )
 
     def _spawn_connect(self, host_id: str, address: str) -> None:
-        settle = functools.partial(
-            self._connect_failed, host_id, "task failed"
-        )
+        settle = functools.partial(self._connect_task_failed, host_id)
         self.spawn(settle, self._connect, host_id, address)
 
+    def _connect_task_failed(self, host_id: str) -> None:
+        if host_id:
+            self._connect_failed(host_id, "task failed")
+
     def stop(self) -> None:
         """Close the listener and all streams."""
         self.stopping = True
