--- a/src/hickorythread/http_listener.py
+++ b/src/hickorythread/http_listener.py
@@ -117,7 +117,7 @@
             # Another task has closed the listener.
             pass
         finally:
-            self._close_idle()
+            end_idle(self.table)
 
     def _accept(self) -> Any:
         """Return the next connection, None if there is none to be had."""
@@ -177,11 +177,16 @@
             connection.table.remove(connection)
             close(connection.sock)
 
-    def _close_idle(self) -> None:
-        for connection in list(self.table.open):
-            connection.closing = True
-            if self.table.is_idle(connection):
-                http_client.shut_down(connection.sock)
+
+def end_idle(table: connection_table.ConnectionTable) -> None:
+    """Close the idle connections; the others take no further requests."""
+    for connection in list(table.open):
+        connection.closing = True
+        if not table.is_idle(connection):
+            continue
+        # A request that has arrived unseen still gets a response.
+        if not http_protocol.has_unread_data(connection.sock):
+            http_client.shut_down(connection.sock)
 
 
 def close_idle(table: connection_table.ConnectionTable) -> bool:
--- a/src/hickorythread/platform/sidecar.py
+++ b/src/hickorythread/platform/sidecar.py
@@ -18,6 +18,5 @@
     is that of the file before the settings were read.
     """
     source = store.StoreClient(settings.source_address, settings.regions)
-    watched_file = settings_file.SettingsFile(path, settings)
-    watched_file.signature = signature
+    watched_file = settings_file.SettingsFile(path, settings, signature)
     return node.run(settings, source, headers.Headers(), watched_file)
