Refuse requests that are first looked at when a stop ends

With a grace time of 3 s a request that must not repeat, sent ahead behind an open one, was passed on to its target at 2.32 s, when the open one had got its 502, and cut by the exit 0.04 s later: for 2.9 s after SIGTERM every request was accepted, also after the time at which the node answers what is open. It gets 503 now and does not run; the test of the decision failed before.

--- a/src/hickorythread/mesh/stopping.py
+++ b/src/hickorythread/mesh/stopping.py
@@ -35,6 +35,6 @@
         A late request is accepted only if it gets its response, be it that of
         its timeout, before the process ends.
         """
-        if now < self.started_at + OPEN_SECONDS:
+        if now < min(self.started_at + OPEN_SECONDS, self.ends_at):
             return True
         return deadline + RESPONSE_SECONDS <= self.ends_at
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -504,3 +504,10 @@
     assert not stop.may_accept(deadline=105.2, now=102.9)
     assert stop.may_accept(deadline=105.1, now=103.7)
     assert stop.ends_at < 106.0
+
+
+def test_no_request_is_accepted_when_a_short_grace_time_ends():
+    """Guards against one that waited for others and is cut by the exit."""
+    stop = stopping.StopPolicy(3.0, 100.0)
+    assert stop.may_accept(deadline=200.0, now=102.2)
+    assert not stop.may_accept(deadline=200.0, now=102.3)
