--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -10,7 +10,9 @@
 from typing import Any
 
 from hickorythread import command_errors
+from hickorythread import early_signals
 from hickorythread import exit_codes
+from hickorythread import log_stream
 from hickorythread import output
 from hickorythread import profiles
 from hickorythread import publishing
@@ -33,6 +35,9 @@
     arguments = sys.argv[1:] if argv is None else argv
     if arguments[:1] in (["node"], ["sidecar"]):
         _exit_on_sigterm()
+        log_stream.open_missing_descriptors()
+    if arguments[:1] == ["sidecar"]:
+        early_signals.ignore_until_started()
     if arguments[:1] in (["node"], ["sidecar"], ["standin"]):
         # A sidecar has no locks that tasks wait for.
         _patch_standard_library(locks=arguments[0] != "sidecar")
@@ -115,12 +120,8 @@
     # takes 12 MB of memory, and the binary is built without it.
     os.environ["EVENTLET_NO_GREENDNS"] = "yes"
     warnings.filterwarnings("ignore", message="\\nEventlet is deprecated")
-    # `logs` needs the unpatched select and takes a reference on import, so
-    # it is imported before monkey_patch().
     import eventlet
 
-    from hickorythread import logs  # noqa: F401
-
     eventlet.monkey_patch(thread=locks)
 
 
@@ -166,12 +167,16 @@
     :param settings: settings file in JSON
     """
     from hickorythread.mesh import settings as settings_module
+    from hickorythread.mesh import settings_file
 
+    log_stream.guard_standard_streams()
+    signature = settings_file.wait_until_readable(settings)
     return _run_process(
         settings,
         settings_module.Settings.from_config,
         "hickorythread.platform.sidecar",
         settings,
+        signature,
     )
 
 
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from hickorythread import binding
 from hickorythread import codec
 from hickorythread import descriptors
 from hickorythread import events as base_events
@@ -73,6 +74,9 @@
         watched_file: settings_file.SettingsFile | None = None,
     ) -> None:
         super().__init__()
+        self.bind_seconds = binding.BIND_SECONDS
+        # Whether the tasks have been started.
+        self.started = False
         now = clock.monotonic()
         self.settings = settings
         self.watched_file = watched_file
@@ -177,7 +181,6 @@
         settings = self.settings
         host_id = settings.host_id
         limit = self.connections.update_limit()
-        self.streams.listen(f"{host_id}:{settings.stream_port}")
         apps = (
             (
                 settings.request_address,
@@ -195,8 +198,16 @@
                 descriptors.METRICS,
             ),
         )
-        for address, app, use in apps:
-            self.spawn(self._serve, self.listen(address), app, use)
+        stream_listener, *self.listeners = self.bind_in_time(
+            [
+                f"{host_id}:{settings.stream_port}",
+                *(address for address, _, _ in apps),
+            ]
+        )
+        self.started = True
+        self.streams.serve(stream_listener)
+        for listener, (_, app, use) in zip(self.listeners, apps, strict=True):
+            self.spawn(self._serve, listener, app, use)
         for source_watcher in self.synchronizer.watchers:
             self.spawn(source_watcher.run)
         for task in (
@@ -216,6 +227,9 @@
         if self.stopping:
             return
         self.stopping = True
+        if not self.started:
+            # The start ends at its next attempt to bind the addresses.
+            return
         logs.info("node_draining", waiting=len(self.clients))
         self.spawn(self._drain)
 
@@ -358,13 +372,17 @@
 
     def _report_dropped(self) -> None:
         """Log how many lines were dropped, at most once per second."""
-        dropped = self.decisions.dropped
+        dropped = self._dropped_lines()
         now = self.clock.monotonic()
         if dropped > self.reported_dropped and now >= self.next_drop_report_at:
             self.next_drop_report_at = now + 1.0
             self.reported_dropped = dropped
             logs.warning("lines_dropped", total=dropped)
 
+    def _dropped_lines(self) -> int:
+        """Return how many log lines exceeded a limit or were not written."""
+        return self.decisions.dropped + logs.dropped_lines(sys.stdout)
+
     # View changes.
 
     def _view_changed(self, previously_evacuated: frozenset[str]) -> None:
@@ -652,6 +670,7 @@
     def render_metrics(self) -> bytes:
         """Return counters, gauges and durations as Prometheus text."""
         self.connections.set_gauges()
+        self.metrics.set("log_lines_dropped", self._dropped_lines())
         return self.telemetry.render(
             self.entry,
             self.execution,
@@ -673,7 +692,6 @@
     node = Node(
         settings, source, dialect, clock, random.Random(), watched_file
     )
-    if not process.run(node):
-        return process.EXIT_ADDRESS_IN_USE
+    code = process.run(node)
     node.decisions.flush(sys.stdout, logs.MAX_BUFFERED_DECISIONS)
-    return node.exit_code()
+    return code
--- a/src/hickorythread/mesh/settings_file.py
+++ b/src/hickorythread/mesh/settings_file.py
@@ -1,9 +1,11 @@
 """Reloads the settings file of a running sidecar."""
 
 import os
+import time
 
 import expression
 
+from hickorythread import descriptors
 from hickorythread import documents
 from hickorythread import exceptions
 from hickorythread import logs
@@ -22,6 +24,10 @@
     "warmup_burst",
 )
 
+# A file that is being replaced may be missing, empty or cut at the start.
+REPLACEMENT_SECONDS = 2.0
+POLL_SECONDS = 0.05
+
 FileSignature = tuple[int, int, int]
 
 
@@ -31,16 +37,23 @@
     def __init__(self, path: str, settings: mesh_settings.Settings) -> None:
         self.path = path
         self.settings = settings
-        self.signature = self._read_signature()
+        self.signature = read_signature(self.path)
+        self.postponed = False
 
     def changed(self) -> bool:
         """Return whether the file has changed since it was last read."""
-        return self._read_signature() != self.signature
+        return read_signature(self.path) != self.signature
 
     def reload(self) -> list[str]:
         """Apply the reloadable settings; return the names of those changed."""
-        self.signature = self._read_signature()
-        result = self._read()
+        signature = read_signature(self.path)
+        try:
+            result = self._read()
+        except OSError as error:
+            self._postpone(error)
+            return []
+        self.signature = signature
+        self.postponed = False
         if result.is_error():
             logs.error(
                 "reload_refused",
@@ -61,11 +74,18 @@
     def _read(
         self,
     ) -> expression.Result[mesh_settings.Settings, list[exceptions.Problem]]:
-        loaded = documents.read(self.path)
+        """Read the settings; raises OSError if a later read may succeed."""
+        loaded = documents.read(self.path, descriptors.is_shortage)
         if loaded.is_error():
             return expression.Error(loaded.error)
         return mesh_settings.Settings.from_config(loaded.ok)
 
+    def _postpone(self, error: OSError) -> None:
+        """Leave the change to a later check; it is logged once."""
+        if not self.postponed:
+            self.postponed = True
+            logs.warning("reload_postponed", path=self.path, error=str(error))
+
     def _changed_fields(self, other: mesh_settings.Settings) -> list[str]:
         return [
             name
@@ -73,10 +93,21 @@
             if getattr(self.settings, name) != getattr(other, name)
         ]
 
-    def _read_signature(self) -> FileSignature | None:
-        """Return modification time, size and inode, None without a file."""
-        try:
-            status = os.stat(self.path)
-        except OSError:
-            return None
-        return status.st_mtime_ns, status.st_size, status.st_ino
+
+def read_signature(path: str) -> FileSignature | None:
+    """Return modification time, size and inode, None without a file."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
+def wait_until_readable(path: str) -> FileSignature | None:
+    """Wait a while for a file that holds JSON; return its signature."""
+    ends_at = time.monotonic() + REPLACEMENT_SECONDS
+    while True:
+        signature = read_signature(path)
+        if documents.read(path).is_ok() or time.monotonic() >= ends_at:
+            return signature
+        time.sleep(POLL_SECONDS)
--- a/tools/loopback/soak.py
+++ b/tools/loopback/soak.py
@@ -21,7 +21,8 @@
 START_SECONDS = 60.0
 # The platform's bound is a few seconds; a busy machine gets more.
 RECOVERY_SECONDS = 30.0
-FAULT_SERIES = 3
+# One more series of each group for so many hosts.
+HOSTS_PER_SERIES = 8
 MAX_RATE = 250.0
 MAX_RATE_PER_HOST = 60.0
 
@@ -34,11 +35,11 @@
         folder,
         seed,
         host_count,
-        kinds=faults.KINDS,
+        kinds=None,
         program_root=sidecar_process.ROOT,
     ):
         self.seed = seed
-        self.kinds = kinds
+        self.kinds = kinds or faults.draw_kinds(seed)
         self.lock = threading.Lock()
         self.reserved = set()
         self.frozen = set()
@@ -72,6 +73,8 @@
             self.processes, self.writer, self.records, seed
         )
         self.unrecovered = []
+        # Errors of the soak itself.
+        self.errors = []
 
     def run(self, seconds):
         """Run for some seconds and return all broken promises."""
@@ -108,11 +111,17 @@
                 self.load.add(kind(self.load, host, number, pause))
 
     def _run_faults(self, seconds):
+        groups = [
+            [kind for kind in group if kind in self.kinds]
+            for group in (*faults.GROUPS, faults.OPEN_KINDS)
+        ]
+        repeats = 1 + len(self.hosts) // HOSTS_PER_SERIES
         series = [
             threading.Thread(
-                target=faults.FaultSeries(self, number, self.kinds).run
+                target=faults.FaultSeries(self, number, group).run
             )
-            for number in range(FAULT_SERIES)
+            for number, group in enumerate(groups * repeats)
+            if group
         ]
         for thread in series:
             thread.start()
@@ -120,6 +129,8 @@
         self.calm.set()
         for thread in series:
             thread.join()
+        if self.errors:
+            raise self.errors[0]
 
     def _recover(self):
         """Check that each host answers after the faults."""
@@ -198,6 +209,9 @@
             "faults": dict(sorted(self.records.fault_counts.items())),
             "processes": len(self.processes.started),
             "exit_codes": dict(sorted(exits.items())),
+            "peak_memory_mb": round(
+                max(item.peak_memory_mb for item in self.processes.started)
+            ),
             "versions": len(self.writer.versions),
             "longest_lag_seconds": round(self.lag_monitor.lag(0, 1e12), 3),
         }
