--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -35,9 +35,8 @@
     arguments = sys.argv[1:] if argv is None else argv
     if arguments[:1] in (["node"], ["sidecar"]):
         _exit_on_sigterm()
-        log_stream.open_missing_descriptors()
-    if arguments[:1] == ["sidecar"]:
         early_signals.ignore_until_started()
+        log_stream.open_missing_descriptors()
     if arguments[:1] in (["node"], ["sidecar"], ["standin"]):
         # A sidecar has no locks that tasks wait for.
         _patch_standard_library(locks=arguments[0] != "sidecar")
