--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -255,9 +255,13 @@
             self.closing = True
         ready = self.responses.complete(exchange)
         closes = self.closing and not self.responses.open
-        data = b"".join(
-            item.render(closes and item is ready[-1]) for item in ready
-        )
+        try:
+            data = b"".join(
+                item.render(closes and item is ready[-1]) for item in ready
+            )
+        except MemoryError:
+            self.drop()
+            return
         for item in ready:
             item.drop_content()
         if data:
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -126,7 +126,11 @@
         """Queue a message; returns False once the stream is closed."""
         if self.closed:
             return False
-        self.write(codec.encode(message, self.manager.version()))
+        try:
+            self.write(codec.encode(message, self.manager.version()))
+        except MemoryError:
+            # The peer learns from the closed stream that this one is lost.
+            self.close("no memory for a message")
         return not self.closed
 
     def send_timed(self, message: Any, local_time: float) -> bool:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -300,6 +300,19 @@
         assert exchanges[0].on_abandoned is None
 
 
+def test_response_without_memory_ends_only_its_connection(monkeypatch):
+    """Guards against a failed allocation that ends the process."""
+
+    def fail(exchange, closes):
+        raise MemoryError
+
+    with serving() as (caller, node, steps):
+        monkeypatch.setattr(http_protocol.Exchange, "render", fail)
+        caller.send(get("/a"))
+        steps.append(when_started(node, ["/a"], lambda: node.answer("/a")))
+        assert caller.sock.recv(1) == b""
+
+
 def test_interim_response_waits_for_the_earlier_responses():
     """Guards against 100 Continue that a client takes for an earlier one."""
     with serving() as (caller, node, steps):
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -327,3 +327,20 @@
     kinds = [type(message) for message in peer.messages]
     assert messages.ClockProbe not in kinds
     node.streams.stop()
+
+
+def test_stream_closes_if_a_message_gets_no_memory(monkeypatch):
+    """Guards against a failed allocation that ends the process."""
+
+    def fail(message, version):
+        raise MemoryError
+
+    near, far = RecordingNode("near"), RecordingNode("far")
+    near.streams.open(far.address)
+    with eventlet.Timeout(10):
+        while not near.opened:
+            eventlet.sleep(0.01)
+    stream = near.streams.find("far")
+    monkeypatch.setattr(codec, "encode", fail)
+    assert not stream.send(call(1, b"body"))
+    assert near.closed == [("far", "no memory for a message")]
