--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -738,17 +738,22 @@
     def client_disconnected(self, number: int) -> None:
         """Cancel the request of a client that has disconnected."""
         client = self.clients.pop(number, None)
-        if client is None:
-            return
+        if client is not None:
+            # A call that this leaves open ends at its deadline.
+            self.run_request(
+                client.hold.release, self._leave_call, number, client.hold
+            )
+
+    def _leave_call(self, number: int, hold: memory_budget.Hold) -> None:
+        """Cancel the call of a client that has left and release its body."""
         pending = self.entry.calls.by_number.get(number)
-        # The call that it leaves open ends at its deadline.
-        self.run_request(_do_nothing, self._cancel_call, number)
+        self._cancel_call(number)
         key = (pending.host_id, pending.call_id) if pending else None
         if key is not None and key in self.execution.accepted:
             # The local target still reads the body.
-            self.call_memory.adopt(key, client.hold)
+            self.call_memory.adopt(key, hold)
         else:
-            client.hold.release()
+            hold.release()
 
     def _cancel_call(self, number: int) -> None:
         now = self.clock.monotonic()
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -197,6 +197,10 @@
             self.queued.end_wait()
             self.writer = None
 
+    def fail(self) -> None:
+        """Close the stream, since a task of it has failed."""
+        self.close("task failed")
+
     def _send_all(self, data: bytes) -> None:
         """Send without copies of the rest, as sendall() makes them."""
         rest = memoryview(data)
@@ -208,10 +212,6 @@
     def _end_slow(self) -> None:
         self.close("peer does not read and memory is short")
 
-    def fail(self) -> None:
-        """Close the stream, since a task of it has failed."""
-        self.close("task failed")
-
     def read(self) -> None:
         """Read until the stream closes."""
         reason = "closed by peer"
@@ -224,6 +224,10 @@
                 results = self.decoder.feed(data)
                 for result in results:
                     self.manager.handle_decoded(self, result)
+                    if self.closed:
+                        break
+                if self.closed:
+                    break
                 if not self._count_received():
                     reason = "no memory for a message"
                     break
@@ -364,11 +368,13 @@
         )
 
     def _spawn_connect(self, host_id: str, address: str) -> None:
-        settle = functools.partial(
-            self._connect_failed, host_id, "task failed"
-        )
+        settle = functools.partial(self._connect_task_failed, host_id)
         self.spawn(settle, self._connect, host_id, address)
 
+    def _connect_task_failed(self, host_id: str) -> None:
+        if host_id:
+            self._connect_failed(host_id, "task failed")
+
     def stop(self) -> None:
         """Close the listener and all streams."""
         self.stopping = True
@@ -437,6 +443,8 @@
             self.handler.message_refused(stream.address, result.error)
             if result.error.fatal:
                 stream.close("framing error")
+            elif stream.peer is None:
+                stream.close("no message of a peer")
             return
         received = result.ok
         message = received.message
