--- a/tools/loopback/faults.py
+++ b/tools/loopback/faults.py
@@ -484,11 +484,15 @@
         "store_restore",
         "link_broken",
     ),
-    ("target_crash", "target_leave", "target_faulty", "half_bodies"),
+    (
+        "target_crash",
+        "target_leave",
+        "target_faulty",
+        "half_bodies",
+        "large_bodies",
+    ),
 )
 KINDS = tuple(kind for group in GROUPS for kind in group)
 # Some promises hold only while a kind of fault is rare, so each run leaves
 # some kinds out.
 KIND_PROBABILITY = 0.6
-# Faults of issue 33 that main does not withstand yet.
-OPEN_KINDS = ("large_bodies",)
--- a/tools/loopback/soak.py
+++ b/tools/loopback/soak.py
@@ -113,7 +113,7 @@
     def _run_faults(self, seconds):
         groups = [
             [kind for kind in group if kind in self.kinds]
-            for group in (*faults.GROUPS, faults.OPEN_KINDS)
+            for group in faults.GROUPS
         ]
         repeats = 1 + len(self.hosts) // HOSTS_PER_SERIES
         series = [
