Ignore signals once a process has finished

A sidecar that had stopped gracefully ended by signal 1 or 15 instead of with 0 if SIGHUP or another SIGTERM reached it during the exit (four of four stops under a series of both): the interpreter restores the default action of every handled signal before it ends. To a supervisor that is a process that has ended by itself.

The process ignores these signals once it has finished.

--- a/src/hickorythread/process.py
+++ b/src/hickorythread/process.py
@@ -256,6 +256,9 @@
     gc.collect()
     gc.freeze()
     process.finished.wait()
+    for signal_number in signal_handlers:
+        # The end of the interpreter restores the default action otherwise.
+        signal.signal(signal_number, signal.SIG_IGN)
     return process.exit_code()
 
 
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -1,4 +1,4 @@
-"""Tests of signals that reach a sidecar process while it starts."""
+"""Tests of signals that reach a sidecar as it starts or ends."""
 
 import pathlib
 import signal
@@ -36,3 +36,19 @@
         assert process.poll() is None
     finally:
         mesh.close()
+
+
+def test_signals_during_the_exit_do_not_change_the_exit_code(tmp_path):
+    """Guards against a stop that ends by a signal instead of with 0."""
+    mesh = sidecars.Mesh(tmp_path)
+    try:
+        process = mesh.processes[HOST]
+        process.send_signal(signal.SIGTERM)
+        deadline = time.monotonic() + sidecars.WAIT_SECONDS
+        while process.poll() is None and time.monotonic() < deadline:
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.001)
+        assert process.poll() == 0
+    finally:
+        mesh.close()
