Move the shutdown and the reports out of the sidecar's node

The order of a graceful stop is mesh/shutdown.py, what a sidecar lacks is reported by mesh/reports.py.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -9,13 +9,11 @@
 
 import eventlet
 
-from hickorythread import accept_queue
 from hickorythread import binding
 from hickorythread import codec
 from hickorythread import descriptors
 from hickorythread import events as base_events
 from hickorythread import exceptions
-from hickorythread import http_listener
 from hickorythread import http_protocol
 from hickorythread import interfaces as base_interfaces
 from hickorythread import keepalive
@@ -40,8 +38,10 @@
 from hickorythread.mesh import links
 from hickorythread.mesh import messages
 from hickorythread.mesh import reasons
+from hickorythread.mesh import reports
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import settings_file
+from hickorythread.mesh import shutdown
 from hickorythread.mesh import stopping
 from hickorythread.mesh import synchronizer
 from hickorythread.mesh import target_client
@@ -59,13 +59,6 @@
 LINES_PER_SECOND = 1000
 ORDINARY_EVENTS = frozenset(("answered", "run_ended"))
 MIN_SERVER_ERROR_STATUS = 500
-# Clients send requests until two readiness checks have failed.
-MIN_DRAIN_SECONDS = 3.2
-QUIET_PERIOD_SECONDS = 0.6
-# A flood of new connections does not delay a stop for longer.
-MAX_ACCEPT_SECONDS = 0.3
-# A client sends its first request at most so long after it has connected.
-FIRST_REQUEST_SECONDS = 0.1
 
 
 class Node(process.Process):
@@ -106,7 +99,6 @@
             settings.memory_mb, clock.monotonic
         )
         self.call_memory = call_memory.CallMemory(self.memory)
-        self.memory_tight = False
         self.target = target_client.TargetClient(
             settings.target_address, dialect, clock, self.memory
         )
@@ -165,8 +157,7 @@
         self.streams.on_shortage = self.connections.relieve
         self.reply_streams: dict[tuple[str, int], streams.Stream] = {}
         self.last_number = 0
-        self.reported_dropped = 0
-        self.next_drop_report_at = 0.0
+        self.reports = reports.Reports(self.decisions, self.memory)
         self.accepting = True
         self.actions: dict[type, Callable[[Any], None]] = {
             events.Send: self._send,
@@ -238,7 +229,7 @@
             # The start ends at its next attempt to bind the addresses.
             return
         logs.info("node_draining", waiting=len(self.clients))
-        self.spawn(self._drain)
+        self.spawn(shutdown.Shutdown(self).run)
 
     def reload(self) -> None:
         """Apply the changes of the settings file."""
@@ -257,60 +248,6 @@
             return False
         return self.view.ready and not self.planes_down()
 
-    def _drain(self) -> None:
-        now = self.clock.monotonic()
-        stop = stopping.StopPolicy(self.settings.grace_seconds, now)
-        self.entry.stop = stop
-        self.perform(self.execution.stop(now))
-        self._wait_for_quiet_period(stop)
-        self._close_listeners()
-        self.client_connections.draining = True
-        http_listener.end_idle(self.connections.tables[descriptors.REQUESTS])
-        self._wait_while(self._is_in_use, stop.ends_at)
-        self.perform(self.entry.end(self.clock.monotonic()))
-        self._wait_while(self._has_unsent, stop.exits_at)
-        logs.info("node_stopped", unfinished=len(self.clients))
-        self.finish(None)
-
-    def _close_listeners(self) -> None:
-        """Refuse new connections; those already accepted bring a request."""
-        self.accepting = False
-        closes_at = self.clock.monotonic() + MAX_ACCEPT_SECONDS
-        for listener in self.listeners:
-            while not accept_queue.is_empty(listener):
-                if self.clock.monotonic() >= closes_at:
-                    break
-                eventlet.sleep(0)
-            listener.close()
-        eventlet.sleep(FIRST_REQUEST_SECONDS)
-
-    def _wait_while(self, condition: Callable[[], bool], until: float) -> None:
-        while condition() and self.clock.monotonic() < until:
-            eventlet.sleep(TICK_SECONDS)
-
-    def _wait_for_quiet_period(self, stop: stopping.StopPolicy) -> None:
-        """Serve clients until none sends requests for QUIET_PERIOD_SECONDS."""
-        quiet_since = stop.started_at
-        while (now := self.clock.monotonic()) < stop.accepts_until:
-            if self._is_busy():
-                quiet_since = now
-            if (
-                now - stop.started_at >= MIN_DRAIN_SECONDS
-                and now - quiet_since >= QUIET_PERIOD_SECONDS
-            ):
-                return
-            eventlet.sleep(TICK_SECONDS)
-
-    def _is_busy(self) -> bool:
-        return self._has_unsent() or not self.execution.idle
-
-    def _is_in_use(self) -> bool:
-        connections_open = self.connections.count(descriptors.REQUESTS)
-        return self._is_busy() or connections_open > 0
-
-    def _has_unsent(self) -> bool:
-        return not (self.backlog.empty and self.streams.all_sent)
-
     def _serve(self, listener: Any, app: Any, use: str) -> None:
         options = None
         if use == descriptors.REQUESTS:
@@ -340,8 +277,13 @@
         self.attempt(lambda: self.perform(self.entry.end(now)))
         for number in list(self.clients):
             self._fail_request(number)
-        # Allows the last responses to leave the socket buffers.
-        eventlet.sleep(TICK_SECONDS)
+        sends_until = now + stopping.SEND_SECONDS
+        while self.has_unsent() and self.clock.monotonic() < sends_until:
+            eventlet.sleep(TICK_SECONDS)
+
+    def has_unsent(self) -> bool:
+        """Return whether a request is open or its answer not sent yet."""
+        return not (self.backlog.empty and self.streams.all_sent)
 
     # Tasks.
 
@@ -392,40 +334,11 @@
             # Yield to other tasks between batches.
             while self.decisions.flush(sys.stdout, FLUSH_LINES) == FLUSH_LINES:
                 eventlet.sleep(0)
-            self._report_dropped()
+            now = self.clock.monotonic()
+            self.reports.check(now)
             self.connections.report()
             self.metrics.flush()
-            self.target.expire(self.clock.monotonic())
-            self._check_memory()
-
-    def _check_memory(self) -> None:
-        """Log when the memory budget binds and when it ceases to."""
-        budget = self.memory
-        budget.update(self.clock.monotonic())
-        if budget.binding == self.memory_tight:
-            return
-        self.memory_tight = budget.binding
-        logs.warning(
-            "memory_budget",
-            binding=budget.binding,
-            used=budget.used,
-            capacity=budget.capacity,
-            refused=sum(budget.refused.values()),
-            reclaimed=budget.reclaimed,
-        )
-
-    def _report_dropped(self) -> None:
-        """Log how many lines were dropped, at most once per second."""
-        dropped = self._dropped_lines()
-        now = self.clock.monotonic()
-        if dropped > self.reported_dropped and now >= self.next_drop_report_at:
-            self.next_drop_report_at = now + 1.0
-            self.reported_dropped = dropped
-            logs.warning("lines_dropped", total=dropped)
-
-    def _dropped_lines(self) -> int:
-        """Return how many log lines exceeded a limit or were not written."""
-        return self.decisions.dropped + logs.dropped_lines(sys.stdout)
+            self.target.expire(now)
 
     # View changes.
 
@@ -779,7 +692,7 @@
     def render_metrics(self) -> bytes:
         """Return counters, gauges and durations as Prometheus text."""
         self.connections.set_gauges()
-        self.metrics.set("log_lines_dropped", self._dropped_lines())
+        self.metrics.set("log_lines_dropped", self.reports.dropped_lines())
         return self.telemetry.render(
             self.entry,
             self.execution,
