Wait for what a test of descriptors reads in the log

One took lines of the start, written late, for lines after its fault; it waits for a later line first. The other lowered the limit once, but the process raises its limit again at any shortage of its own, so that the settings were read at once, as they should be; the test lowers it at each change now, and asks for the reload after the postponed one.

--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -149,6 +149,8 @@
     """Guards against a sound target that counts as down for its peers."""
     client = http.client.HTTPConnection(SOUTH, mesh.ports["request"])
     assert ask(client, "/two/0")[0] == 200
+    # The lines about the start are written before this one.
+    mesh.wait_until(lambda: "event=answered" in mesh.read_log(SOUTH))
     start = len(mesh.read_log(SOUTH))
     take_descriptors(mesh, SOUTH)
     # The idle connection to the target ends after a few seconds.
@@ -168,13 +170,24 @@
     """Guards against a change that is lost for want of a descriptor."""
     pid = mesh.processes[SOUTH].pid
     _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
-    resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, hard))
     path = mesh.folder / f"{SOUTH}.json"
     document = json.loads(path.read_text("utf-8"))
-    path.write_text(json.dumps(document | {"retry_slack": 61}), "utf-8")
-    mesh.wait_until(lambda: "event=reload_" in mesh.read_log(SOUTH))
+
+    def change_settings():
+        # The process raises its limit again at any other shortage.
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, hard))
+        document["retry_slack"] += 1
+        path.write_text(json.dumps(document), "utf-8")
+        return "event=reload_postponed" in mesh.read_log(SOUTH)
+
+    mesh.wait_until(change_settings)
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (hard, hard))
-    mesh.wait_until(lambda: "changed=retry_slack" in mesh.read_log(SOUTH))
+    mesh.wait_until(
+        lambda: (
+            "changed=retry_slack"
+            in mesh.read_log(SOUTH).partition("event=reload_postponed")[2]
+        )
+    )
 
 
 def spoil(sock, number):
