End the start of a process that is stopped between two attempts to bind

A sidecar that got SIGTERM while it waited for a port, and whose port became free before the next attempt, started in full: its target counted as usable for its peers, its readiness check failed, and no further SIGTERM had an effect, since a stop had been requested already. Only SIGKILL ended it, and the requests in hand with it.

bind_in_time() now looks for the stop after each wait, so that no attempt follows it. No task runs between a successful attempt and the start of the tasks, so that a stop cannot come between them.

--- a/src/hickorythread/process.py
+++ b/src/hickorythread/process.py
@@ -1,6 +1,7 @@
 """Start, signal handling and shutdown of a server process."""
 
 from collections.abc import Callable
+import errno
 import gc
 import signal
 import time
@@ -77,6 +78,8 @@
                 if policy.report_due(now):
                     logs.warning("address_in_use", error=str(error))
             eventlet.sleep(binding.RETRY_SECONDS)
+            if self.stopping:
+                raise OSError(errno.ECANCELED, "stopped during the start")
 
     def spawn(self, task: Callable[..., Any], *arguments: Any) -> None:
         """Start a task without which the process cannot go on."""
--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -2,9 +2,11 @@
 
 import errno
 
+import eventlet
 import pytest
 
 from hickorythread import binding
+from hickorythread import process
 
 
 @pytest.mark.parametrize(
@@ -31,3 +33,19 @@
     policy = binding.BindPolicy(0.0, 30.0)
     times = [tenth / 10 for tenth in range(300)]
     assert sum(policy.report_due(now) for now in times) == 6
+
+
+def test_stop_before_the_last_attempt_ends_the_start():
+    """Guards against a start that goes on after its stop and never ends."""
+    holder = eventlet.listen(("127.0.0.1", 0))
+    host, port = holder.getsockname()
+    starting = process.Process()
+    starting.bind_seconds = 30.0
+
+    def stop():
+        starting.stopping = True
+        holder.close()
+
+    eventlet.spawn_after(binding.RETRY_SECONDS / 2, stop)
+    with pytest.raises(OSError, match="stopped during the start"):
+        starting.bind_in_time([f"{host}:{port}"])
