Read a topic again whose changes could not be applied

Since a failed task no longer ends the process, the watcher of a topic is started again after a failure. It went on behind the batch that it had failed to apply, so that the changes of this batch, such as a version, a target or an evacuation, were missing on the host until the topic was next read as a whole. Before, the end of the process had led to such a read.

Found by reading; no real process has shown a batch that fails. The test of the watcher's decisions failed before: the changes of revision 6 were never applied, 7 came next. Now the position is dropped with the failed batch, and the next call reads the topic as a whole.

--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -107,9 +107,17 @@
             self.position = batch.position
         self.backoff.reset()
         self._report_status("")
-        self.handler.apply_batch(self.topic, batch, complete)
+        self._apply(batch, complete)
         return self._next_delay(batch, complete)
 
+    def _apply(self, batch: interfaces.ChangeBatch, complete: bool) -> None:
+        """Apply a batch; what a failed one has skipped is read again."""
+        try:
+            self.handler.apply_batch(self.topic, batch, complete)
+        except Exception:
+            self.position = None
+            raise
+
     def _read(self) -> interfaces.ReadResult:
         if self.position is None:
             return self.source.read(self.topic)
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -511,3 +511,39 @@
     stop = stopping.StopPolicy(3.0, 100.0)
     assert stop.may_accept(deadline=200.0, now=102.2)
     assert not stop.may_accept(deadline=200.0, now=102.3)
+
+
+class DefectiveHandler(build.WatchHandler):
+    """Fail on the second response of a source."""
+
+    def apply_batch(self, topic, batch, complete):
+        if batch.revision == 6 and not complete:
+            raise ValueError("defect")
+        super().apply_batch(topic, batch, complete)
+
+
+class ChangingSource:
+    """Return one change with each response."""
+
+    def __init__(self):
+        self.revision = 5
+
+    def read(self, topic):
+        change = interfaces.PutTarget(build.make_target(1))
+        return expression.Ok(interfaces.ChangeBatch([change], self.revision))
+
+    def watch(self, topic, after, wait):
+        self.revision += 1
+        return self.read(topic)
+
+
+def test_changes_whose_application_failed_are_read_again():
+    """Guards against a restarted watcher that skips a batch for good."""
+    handler = DefectiveHandler()
+    source_watcher = make_watcher(ChangingSource(), handler)
+    source_watcher.step()
+    with pytest.raises(ValueError, match="defect"):
+        source_watcher.step()
+    source_watcher.step()
+    source_watcher.step()
+    assert handler.applied == [(5, True), (6, True), (7, False)]
