Leave new connections their first request as a listener closes

Closing a listener does not wake the task in accept(); the next socket that gets its descriptor does, and the idle connections then ended at once, also those that had been accepted a moment before. The loop waits for the first request as the shutdown does. The test failed before.

--- a/src/hickorythread/http_listener.py
+++ b/src/hickorythread/http_listener.py
@@ -24,6 +24,8 @@
 # are closed without one.
 MAX_REFUSALS = 4
 REFUSAL_SECONDS = 1.0
+# A client sends its first request at most so long after it has connected.
+FIRST_REQUEST_SECONDS = 0.1
 _REFUSAL_BODY = (
     b'{"reason": "connections", "message": "too many open connections"}'
 )
@@ -114,8 +116,9 @@
                 if sock is not None:
                     self._admit(sock)
         except hubs.IOClosed:
-            # Another task has closed the listener.
-            pass
+            # Another task has closed the listener. This is noticed at any
+            # time after, once its descriptor is used again.
+            eventlet.sleep(FIRST_REQUEST_SECONDS)
         finally:
             end_idle(self.table)
 
--- a/src/hickorythread/mesh/shutdown.py
+++ b/src/hickorythread/mesh/shutdown.py
@@ -17,8 +17,6 @@
 QUIET_PERIOD_SECONDS = 0.6
 # A flood of new connections does not delay a stop for longer.
 MAX_ACCEPT_SECONDS = 0.3
-# A client sends its first request at most so long after it has connected.
-FIRST_REQUEST_SECONDS = 0.1
 
 
 class Shutdown:
@@ -72,7 +70,7 @@
                     break
                 eventlet.sleep(0)
             listener.close()
-        eventlet.sleep(FIRST_REQUEST_SECONDS)
+        eventlet.sleep(http_listener.FIRST_REQUEST_SECONDS)
 
     def _wait_while(self, condition: Callable[[], bool], until: float) -> None:
         while condition() and self.clock.monotonic() < until:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -347,3 +347,25 @@
     assert all(connection.closing for connection in table.open)
     for caller in (idle, unread, busy):
         caller.close()
+
+
+def test_new_socket_ends_no_connection_of_a_closed_listener(
+    serve, monkeypatch
+):
+    """Guards against a first request that is cut as a listener closes.
+
+    The accept loop hears of the close once another socket has its descriptor.
+    """
+    monkeypatch.setattr(http_listener, "FIRST_REQUEST_SECONDS", 60.0)
+    other = serve()
+    server = serve()
+    caller = server.connect()
+    server.wait_for(lambda: server.table.open)
+    descriptor = server.listener.fileno()
+    server.listener.close()
+    # Either end of a connection takes the lowest free descriptor.
+    others = [other.connect() for _ in range(descriptor)]
+    eventlet.sleep(0.05)
+    assert server.ask(caller).startswith(b"HTTP/1.1 200 ")
+    for sock in (caller, *others):
+        sock.close()
