Take no connection for idle that has a request in its buffer

When all open requests of a connection were answered at once, it counted as idle until its task ran again, although it held a request that had been read from the socket; a stop at that moment closed it without an answer. Found in review by reading. The test failed before.

--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -313,7 +313,7 @@
 
     def _progressed(self) -> None:
         """Let the task of the connection go on after a change of its state."""
-        if self._all_sent() and not self.head_begun:
+        if self._all_sent() and not self.head_begun and self.rfile.is_empty():
             # On shutdown the server closes only idle connections.
             self.accepted.table.mark_idle(self.accepted, time.monotonic())
         task, self.waiting_task = self.waiting_task, None
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -284,6 +284,25 @@
         assert caller.response()[2] == b"/b"
 
 
+def test_connection_with_a_request_in_its_buffer_is_not_idle():
+    """Guards against a request that is read and cut with idle connections."""
+    paths = [f"/{number}" for number in range(pipelining.MAX_OPEN_REQUESTS)]
+    with serving() as (caller, node, steps):
+        idle = []
+
+        def answer_all():
+            accepted = node.clients[1].exchange.protocol.accepted
+            for path in paths:
+                node.answer(path)
+            idle.append(accepted.table.is_idle(accepted))
+
+        steps.append(when_started(node, paths, answer_all))
+        caller.send(*map(get, [*paths, "/last"]))
+        for _ in paths:
+            caller.response()
+        assert idle == [False]
+
+
 def test_sent_response_keeps_no_content():
     """Guards against contents that only the garbage collector frees."""
     with serving() as (caller, node, steps):
