Try a log line that cannot be formatted only once

Since a failed task is started again, such a line would have failed each flush, and the host would have stayed not ready. Found in review by reading.

--- a/src/hickorythread/logs.py
+++ b/src/hickorythread/logs.py
@@ -139,12 +139,14 @@
             lines: list[str] = []
             size = 0
             while self._buffer and written + len(lines) < limit:
-                line = self._format(*self._buffer[0])
+                # Removed first: one that cannot be formatted is tried once.
+                decision = self._buffer.popleft()
+                line = self._format(*decision)
                 size += len(line)
                 if lines and size > log_stream.MAX_WRITE_BYTES:
+                    self._buffer.appendleft(decision)
                     break
                 lines.append(line)
-                self._buffer.popleft()
             stream.write("".join(lines))
             stream.flush()
             written += len(lines)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -120,3 +120,20 @@
     times[0] += 1.0
     decisions.add("answered", {}, ordinary=True)
     assert decisions.flush(stream) == 1
+
+
+def test_decision_that_cannot_be_formatted_is_not_tried_again():
+    """Guards against a line that fails each flush, and all behind it."""
+
+    class Broken:
+        def __str__(self):
+            raise ValueError("no text")
+
+    decisions = logs.DecisionLog("host", lambda: 1)
+    decisions.add("first", {"value": Broken()})
+    decisions.add("second", {})
+    stream = io.StringIO()
+    with pytest.raises(ValueError):
+        decisions.flush(stream)
+    decisions.flush(stream)
+    assert "event=second" in stream.getvalue()
