--- a/review/common/caller.py
+++ b/review/common/caller.py
@@ -8,7 +8,7 @@
 
 from tools.loopback import http_messages
 
-ANSWER_SECONDS = 10.0
+ANSWER_SECONDS = 30.0
 _numbers = itertools.count(1)
 
 
