--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -153,11 +154,13 @@
 
 def main():
     case = None
+    # Ends what was started if the script itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         case = Case()
         return 0 if case.run() else 1
-    except (deployment.NotRunError, OSError) as error:
-        print(f"not run: {error}")
+    except Exception as error:
+        print(f"not run: {error!r}")
         return 2
     finally:
         if case is not None:
