Send the requests of a pipelining test in one piece

Two faults of the test: each request was sent on its own, so that the last one might not be in the buffer when the others were answered; and the test looked at the result before the server's thread had noted it.

The requests now leave in one piece, and the test waits for the result.

--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import queue
 import socket
 import struct
 import time
@@ -288,19 +289,20 @@
     """Guards against a request that is read and cut with idle connections."""
     paths = [f"/{number}" for number in range(pipelining.MAX_OPEN_REQUESTS)]
     with serving() as (caller, node, steps):
-        idle = []
+        idle = queue.Queue()
 
         def answer_all():
             accepted = node.clients[1].exchange.protocol.accepted
             for path in paths:
                 node.answer(path)
-            idle.append(accepted.table.is_idle(accepted))
+            idle.put(accepted.table.is_idle(accepted))
 
         steps.append(when_started(node, paths, answer_all))
-        caller.send(*map(get, [*paths, "/last"]))
+        # In one piece, so that the last one is in the buffer.
+        caller.send("".join(map(get, [*paths, "/last"])))
         for _ in paths:
             caller.response()
-        assert idle == [False]
+        assert idle.get(timeout=10) is False
 
 
 def test_sent_response_keeps_no_content():
