Refuse a response whose head or framing breaks the grammar

Cause: only the fields that were recognised were checked. A field with a damaged name, a status line that took in the next line, an empty framing field or a chunk that ended with a line feed alone were no errors. What was left had no framing, and such a body ends with its connection.

http_fields now holds the grammar of a field once, for requests, responses, trailers and messages of peers. Lines of a response end with CR LF, an empty framing field is invalid, trailers are fields, and a success needs the signature of a target.

--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import http.client
+import re
 import socket
 import time
 from typing import Any
@@ -14,12 +15,21 @@
 import urllib3.connection
 
 from hickorythread import connection_reader
+from hickorythread import http_fields
 from hickorythread import http_requests
 
 MAX_COALESCED_BYTES = 16_384
 MAX_LINE_BYTES = 65_536
 MAX_HEADERS = 100
 MAX_INTERIM_RESPONSES = 10
+# A body that begins with so many chunks is one of chunks.
+MAX_CHECKED_CHUNKS = 100
+
+_STATUS_LINE = re.compile(
+    rb"HTTP/1\.([01]) +([1-9][0-9]{2})(?:[ \t][\t\x20-\x7e\x80-\xff]*)?\r\n\Z"
+)
+_LAST_CHUNK = b"\r\n\r\n"
+_BODYLESS_STATUSES = (204, 304)
 
 
 class Response(http.client.HTTPResponse):
@@ -47,6 +57,8 @@
                 break
             status = self._read_status_line()
             self.fields = self._read_headers()
+        if status < 200:
+            raise http.client.HTTPException("too many interim responses")
         self.code = self.status = status
         self._set_framing(_join_fields(self.fields))
 
@@ -56,26 +68,22 @@
             raise http.client.RemoteDisconnected(
                 "connection closed without a response"
             )
-        parts = line.split(None, 2)
-        if len(parts) < 2 or parts[0] not in (b"HTTP/1.1", b"HTTP/1.0"):
-            raise http.client.BadStatusLine(repr(line[:80]))
-        self.version = 11 if parts[0] == b"HTTP/1.1" else 10
-        if len(parts[1]) != 3 or not parts[1].isdigit():
+        match = _STATUS_LINE.match(line)
+        if match is None:
             raise http.client.BadStatusLine(repr(line[:80]))
-        return int(parts[1])
+        self.version = 11 if match[1] == b"1" else 10
+        return int(match[2])
 
     def _read_headers(self) -> list[list[str]]:
         fields: list[list[str]] = []
         while True:
             line = self._read_line()
-            if line in (b"\r\n", b"\n"):
+            if line == http_requests.CRLF:
                 return fields
-            name, colon, text = line.decode("latin-1").partition(":")
-            if not colon or name != name.strip() or not name:
-                raise http.client.HTTPException("malformed header line")
             if len(fields) == MAX_HEADERS:
                 raise http.client.HTTPException("too many headers")
-            fields.append([name, text.strip()])
+            name, value = _parse_field(line)
+            fields.append([name.text, value])
 
     def _read_line(self) -> bytes:
         line: bytes = self.fp.readline(MAX_LINE_BYTES + 1)
@@ -83,6 +91,9 @@
             raise http.client.LineTooLong("header line")
         if line and not line.endswith(b"\n"):
             raise http.client.IncompleteRead(line)
+        # A line feed alone in place of one of these would end a head early.
+        if line and not line.endswith(http_requests.CRLF):
+            raise http.client.HTTPException("line without a carriage return")
         return line
 
     def _set_framing(self, values: dict[str, str]) -> None:
@@ -90,22 +101,32 @@
         self.will_close = "close" in connection or (
             self.version == 10 and "keep-alive" not in connection
         )
-        encoding = values.get("transfer-encoding", "").lower()
-        text = values.get("content-length", "")
-        self.chunked = encoding == "chunked"
+        encoding = values.get("transfer-encoding")
+        length = values.get("content-length")
+        self.chunked = encoding is not None
         self.chunk_left = None
         self.length = None
-        if self.status in (204, 304) or self._method == "HEAD":
-            self.chunked = False
-            self.length = 0
-        elif self.allow_close_delimited and not encoding and not text:
-            self.will_close = True
-        elif self.chunked == bool(text) or encoding not in ("", "chunked"):
+        if length is not None:
+            self.length = self._parse_length(length)
+        if encoding is not None and (
+            encoding.lower() != "chunked"
+            or length is not None
+            or self.status in _BODYLESS_STATUSES
+        ):
             raise http.client.HTTPException(
                 "response body has no valid framing"
             )
-        elif not self.chunked:
-            self.length = self._parse_length(text)
+        if self.status == 204 and self.length:
+            raise http.client.HTTPException("status 204 with a body")
+        if self.status in _BODYLESS_STATUSES or self._method == "HEAD":
+            self.chunked = False
+            self.length = 0
+        elif encoding is None and length is None:
+            if not self.allow_close_delimited:
+                raise http.client.HTTPException(
+                    "response body has no valid framing"
+                )
+            self.will_close = True
         self.body_length = self.length
 
     def _get_chunk_left(self) -> int | None:
@@ -115,9 +136,10 @@
         that are longer than announced and a missing last line.
         """
         if not self.chunk_left:
-            if self.chunk_left is not None and not self._read_blank_line():
-                raise http.client.HTTPException("chunk has another length")
-            size = http_requests.parse_chunk_size(self._read_line())
+            if self.chunk_left is not None:
+                if self._read_chunk_line() != http_requests.CRLF:
+                    raise http.client.HTTPException("chunk has another length")
+            size = http_requests.parse_chunk_size(self._read_chunk_line())
             if size is None:
                 raise http.client.HTTPException("malformed chunk size")
             self.chunk_left = size
@@ -129,16 +151,17 @@
 
     def _skip_trailers(self) -> None:
         for _ in range(MAX_HEADERS):
-            if self._read_blank_line():
+            line = self._read_chunk_line()
+            if line == http_requests.CRLF:
                 return
+            _parse_field(line)
         raise http.client.HTTPException("too many trailers")
 
-    def _read_blank_line(self) -> bool:
-        """Read a line and return whether it is blank."""
+    def _read_chunk_line(self) -> bytes:
         line = self._read_line()
         if not line:
             raise http.client.IncompleteRead(b"")
-        return line in (b"\r\n", b"\n")
+        return line
 
     def _parse_length(self, text: str) -> int:
         lengths = {
@@ -151,6 +174,14 @@
         return int(text)
 
 
+def _parse_field(line: bytes) -> tuple[http_fields.Name, str]:
+    """Return the name and the value of a line; raise HTTPException."""
+    try:
+        return http_fields.parse(line)
+    except http_fields.FieldError as error:
+        raise http.client.HTTPException(str(error)) from error
+
+
 def _join_fields(fields: list[list[str]]) -> dict[str, str]:
     """Return the values by lower-case name, joined if a name is repeated."""
     values: dict[str, str] = {}
@@ -226,7 +257,30 @@
             raise http.client.HTTPException("response exceeds the size limit")
     if length is not None and size != length:
         raise http.client.IncompleteRead(b"", length - size)
-    return b"".join(chunks)
+    body = b"".join(chunks)
+    if length is None and not response.chunked and _is_chunked(body):
+        raise http.client.HTTPException("chunks without Transfer-Encoding")
+    return body
+
+
+def _is_chunked(body: bytes) -> bool:
+    """Return whether a body is a complete chunked message.
+
+    The field that says so has then been damaged. A body that ends with its
+    connection has no other check.
+    """
+    if not body.endswith(_LAST_CHUNK):
+        return False
+    position = 0
+    for _ in range(MAX_CHECKED_CHUNKS):
+        end = body.find(b"\n", position) + 1
+        size = http_requests.parse_chunk_size(body[position:end])
+        if not size:
+            return size == 0
+        position = end + size + len(http_requests.CRLF)
+        if body[end + size : position] != http_requests.CRLF:
+            return False
+    return True
 
 
 def send(sock: Any, head: bytes, body: bytes, seconds: float) -> None:
--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -12,7 +12,6 @@
 import email.utils
 import functools
 import math
-import re
 import socket
 import time
 import traceback
@@ -25,6 +24,7 @@
 from hickorythread import connection_reader
 from hickorythread import connection_table
 from hickorythread import http_client
+from hickorythread import http_fields
 from hickorythread import http_requests
 from hickorythread import logs
 from hickorythread import memory_budget
@@ -42,7 +42,6 @@
 
 # Where all connections put what they read only to discard it.
 _DISCARDED = bytearray(65_536)
-_INVALID_RESPONSE_VALUE = re.compile(r"[\x00\r\n]")
 _HEAD_ERROR_REASONS = {
     408: "Request Timeout",
     431: "Request Header Fields Too Large",
@@ -158,9 +157,7 @@
         lines = [f"HTTP/1.1 {self.status}"]
         has_date = False
         for name, value in self.headers:
-            if name != "Connection" and not _INVALID_RESPONSE_VALUE.search(
-                value
-            ):
+            if name != "Connection" and http_fields.is_valid(name, value):
                 lines.append(f"{name}: {value}")
                 has_date = has_date or name.lower() == "date"
         if closes:
--- a/src/hickorythread/http_requests.py
+++ b/src/hickorythread/http_requests.py
@@ -8,23 +8,22 @@
 from eventlet import hubs
 
 from hickorythread import connection_reader
+from hickorythread import http_fields
 from hickorythread import memory_budget
 
 MAX_HEADERS = 100
 MAX_HEAD_BYTES = 16 * 1024
 MAX_CHUNK_LINE_BYTES = 1024
-MAX_CACHED_HEADER_NAMES = 1024
 MAX_COUNT_DIGITS = 15
 MAX_PART_BYTES = 64 * 1024
 
-_TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _REQUEST_LINE = re.compile(
     rb"([A-Z]{1,16}) ([\x21-\x7e]{1,8192}) HTTP/1\.([01])\r?\n\Z"
 )
-_INVALID_HEADER_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00\r\n]*)?\r?\n\Z")
-_HEADER_NAMES: dict[bytes, tuple[str, str]] = {}
-_LINE_ENDINGS = (b"\r\n", b"\n")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00\r\n]*)?\r\n\Z")
+# A head may have lines that end with a line feed alone; chunks may not.
+CRLF = b"\r\n"
+_LINE_ENDINGS = (CRLF, b"\n")
 _SINGLETON_HEADERS = (
     "HTTP_IDEMPOTENCY_KEY",
     "HTTP_X_DEADLINE_MS",
@@ -103,23 +102,19 @@
 
     def add_line(self, line: bytes) -> None:
         """Add a header line; raise HeadError if it is malformed."""
-        raw_name, colon, raw_value = line.partition(b":")
-        cached = _HEADER_NAMES.get(raw_name)
-        if not colon or (cached is None and not _TOKEN.match(raw_name)):
-            raise HeadError(400, "malformed header line")
-        raw_value = raw_value.strip(b" \t\r\n")
-        if _INVALID_HEADER_VALUE.search(raw_value):
-            raise HeadError(400, "control character in a header")
-        name, key = cached or _cache_header_name(raw_name)
-        value = raw_value.decode("latin1")
+        try:
+            name, value = http_fields.parse(line)
+        except http_fields.FieldError as error:
+            raise HeadError(400, str(error)) from error
+        key = name.key
         previous = self.fields.get(key)
         if previous is None:
             self.fields[key] = value
         elif key in _SINGLETON_HEADERS:
-            raise HeadError(400, f"header {name} appears twice")
+            raise HeadError(400, f"header {name.text} appears twice")
         else:
             self.fields[key] = f"{previous}, {value}"
-        self.headers.append((name, value))
+        self.headers.append((name.text, value))
 
     def check_framing(self) -> None:
         """Reject a head whose body length could be interpreted in two ways."""
@@ -170,18 +165,6 @@
     )
 
 
-def _cache_header_name(raw_name: bytes) -> tuple[str, str]:
-    """Return a header name and its WSGI key; caches them."""
-    name = raw_name.decode("ascii")
-    key = name.upper().replace("-", "_")
-    if key not in ("CONTENT_LENGTH", "CONTENT_TYPE"):
-        key = f"HTTP_{key}"
-    # Callers choose the names, so the size of the cache is limited.
-    if len(_HEADER_NAMES) < MAX_CACHED_HEADER_NAMES:
-        _HEADER_NAMES[raw_name] = name, key
-    return name, key
-
-
 def parse_count(text: str) -> int | None:
     """Return the value of a text of ASCII digits, None if it is another."""
     is_count = text.isascii() and text.isdigit()
@@ -317,7 +300,7 @@
                 raise BodyError("body is cut short")
             self.parts.append(part)
             limit -= size
-            if not self.remaining and self._read_line() not in _LINE_ENDINGS:
+            if not self.remaining and self._read_line() != CRLF:
                 raise BodyError("chunk is longer than announced")
 
     def _read_chunk_size(self) -> int:
@@ -328,8 +311,13 @@
 
     def _skip_trailers(self) -> None:
         for _ in range(MAX_HEADERS):
-            if self._read_line() in _LINE_ENDINGS:
+            line = self._read_line()
+            if line == CRLF:
                 return
+            try:
+                http_fields.parse(line)
+            except http_fields.FieldError as error:
+                raise BodyError("malformed trailer") from error
         raise BodyError("too many trailers")
 
     def _read_line(self) -> bytes:
--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -157,6 +157,9 @@
     def matches_call(self, call: messages.Forward, fields: list[Any]) -> bool:
         """Return whether the headers of a response match a call."""
 
+    def is_signed(self, fields: list[Any]) -> bool:
+        """Return whether a response bears the signature of a target."""
+
     def read_response(
         self, status: int, fields: list[Any], body: bytes
     ) -> events.TargetResponse:
--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -256,11 +256,19 @@
             )
             body = http_client.read_body(response, MAX_RESPONSE_BYTES, reserve)
             if self.dialect.matches_call(action.call, response.fields):
+                self._check_signature(response)
                 return response, body
             if response.will_close:
                 break
         raise http.client.HTTPException("response belongs to another request")
 
+    def _check_signature(self, response: http_client.Response) -> None:
+        """Raise HTTPException if a success does not come from a target."""
+        if response.status < 300 and not self.dialect.is_signed(
+            response.fields
+        ):
+            raise http.client.HTTPException("success without a signature")
+
     def _reserve(
         self, active: _ActiveRequest, size: int, deadline: float
     ) -> None:
--- a/src/hickorythread/messages.py
+++ b/src/hickorythread/messages.py
@@ -8,6 +8,8 @@
 
 from typing import Any
 
+from hickorythread import http_fields
+
 CONFIG_LOG = "config"
 HOSTS_LOG = "hosts"
 
@@ -569,12 +571,13 @@
 
 
 def is_header_list(values: list[Any]) -> bool:
-    """Return whether all items are pairs of header name and value."""
+    """Return whether all items are pairs of a header's name and value."""
     return all(
         type(item) in (list, tuple)
         and len(item) == 2
         and type(item[0]) is str
         and type(item[1]) is str
+        and http_fields.is_valid(item[0], item[1])
         for item in values
     )
 
--- a/src/hickorythread/platform/headers.py
+++ b/src/hickorythread/platform/headers.py
@@ -15,6 +15,8 @@
 EXPECTED_TARGET = "Hickorythread-Expect-Instance"
 # Service of the target on the host where the request originated.
 CALLER_SERVICE = "Hickorythread-Caller-Service"
+# What a target signs each response with.
+SIGNATURE = "hickorythread-server-stamp"
 NOT_RUN = "hickorythread-not-executed"
 TARGET_ID = "hickorythread-instance-id"
 TARGET_LOAD = "hickorythread-instance-load"
@@ -97,6 +99,12 @@
                 return bool(value == call.request_id)
         return not call.request_id
 
+    def is_signed(self, fields: list[Any]) -> bool:
+        """Return whether a response bears the signature of a target."""
+        return any(
+            name.lower() == SIGNATURE and value for name, value in fields
+        )
+
     def read_response(
         self, status: int, fields: list[Any], body: bytes
     ) -> events.TargetResponse:
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -15,7 +15,8 @@
 from tests import mesh_builders as build
 from tests import servers
 
-ID = b"Hickorythread-Attempt-Id: r1\r\n"
+SIGNATURE = b"Hickorythread-Server-Stamp: s\r\n"
+ID = b"Hickorythread-Attempt-Id: r1\r\n" + SIGNATURE
 
 
 def make_client(server):
