Let other tasks run while a peer always has more to send

Cause: a read suspends its task only when nothing has arrived, and a deadline was only looked at before a wait. A sender that is fast enough kept the process: by a response or probe of a target, an answer of the store, a body or requests sent ahead of a client, or messages of a peer.

Turn counts the work of a task since its last wait; after a turn the others run, and the reader looks at its deadline.

--- a/src/hickorythread/connection_reader.py
+++ b/src/hickorythread/connection_reader.py
@@ -4,8 +4,12 @@
 import time
 from typing import Any
 
+from hickorythread import turns
+
 READ_CHUNK_BYTES = 65_536
 HEAD_CHUNK_BYTES = 16_384
+# What arrived before the deadline of a busy process is read for so long after.
+LATE_SECONDS = 0.1
 
 
 class ConnectionReader:
@@ -14,10 +18,12 @@
     It replaces the file object that http.client creates for each response.
     Creating that object takes as long as the rest of reading a response.
 
-    Bytes that have arrived can be read after the deadline, but no call waits
-    for more: it raises TimeoutError. So a peer that sends one byte at a time
-    does not extend the time of a message. idle_timeout limits each single
-    wait, in seconds. chunk_bytes limits what is received ahead.
+    Bytes that have arrived can be read for LATE_SECONDS after the deadline,
+    but no call waits for more: it raises TimeoutError. So a peer that sends
+    one byte at a time, or without a pause, does not extend the time of a
+    message. idle_timeout limits each single wait, in seconds. chunk_bytes
+    limits what is received ahead. turn lets other tasks run while the peer
+    always has more to read.
     """
 
     __slots__ = (
@@ -27,6 +33,8 @@
         "deadline",
         "idle_timeout",
         "chunk_bytes",
+        "turn",
+        "late_until",
     )
 
     def __init__(self, sock: Any) -> None:
@@ -36,10 +44,13 @@
         self.deadline = math.inf
         self.idle_timeout = math.inf
         self.chunk_bytes = READ_CHUNK_BYTES
+        self.turn = turns.Turn()
+        self.late_until = math.inf
 
     def limit(self, seconds: float) -> None:
         """Set the deadline to so many seconds from now, math.inf for none."""
         self.deadline = time.monotonic() + seconds
+        self.late_until = math.inf
 
     def makefile(self, mode: str) -> "ConnectionReader":
         """Return this reader: http.client calls makefile() on a socket."""
@@ -47,6 +58,7 @@
 
     def readline(self, limit: int) -> bytes:
         """Return a line; it is cut at the limit or at the end of the data."""
+        self._spend(1)
         end = self.data.find(b"\n", self.position) + 1
         while not end and len(self.data) - self.position < limit:
             unread = len(self.data) - self.position
@@ -57,6 +69,7 @@
 
     def read(self, size: int) -> bytes:
         """Return size bytes, fewer only at the end of the data."""
+        self._spend(1)
         if len(self.data) - self.position >= size:
             return self._take(self.position + size)
         chunks = [self._take(len(self.data))]
@@ -77,7 +90,7 @@
         buffered = len(self.data) - self.position
         if not buffered and size > HEAD_CHUNK_BYTES:
             size = min(size, READ_CHUNK_BYTES)
-            return receive(self.sock, size, self._timeout())
+            return self._receive(size)
         if not buffered:
             self.fill()
         return self._take(min(len(self.data), self.position + size))
@@ -92,7 +105,7 @@
 
     def fill(self) -> bool:
         """Receive at least one more byte; return False at the end."""
-        chunk = receive(self.sock, self.chunk_bytes, self._timeout())
+        chunk = self._receive(self.chunk_bytes)
         self.data = self.data[self.position :] + chunk
         self.position = 0
         return bool(chunk)
@@ -103,6 +116,20 @@
     def flush(self) -> None:
         """Do nothing: the reader does not write."""
 
+    def _receive(self, size: int) -> bytes:
+        self._spend(turns.RECEIVE_UNITS)
+        return receive(self.sock, size, self._timeout(), self.turn)
+
+    def _spend(self, units: int) -> None:
+        """Count work; raise TimeoutError if it goes on after the deadline."""
+        if not self.turn.spend(units) or self.deadline == math.inf:
+            return
+        now = time.monotonic()
+        if now > self.late_until:
+            raise TimeoutError("timed out")
+        if now > self.deadline and self.late_until == math.inf:
+            self.late_until = now + LATE_SECONDS
+
     def _timeout(self) -> float | None:
         """Return how long the next wait may take, None without a limit."""
         timeout = self.idle_timeout
@@ -121,11 +148,17 @@
         return result
 
 
-def receive(sock: Any, size: int, timeout: float | None = None) -> bytes:
+def receive(
+    sock: Any,
+    size: int,
+    timeout: float | None = None,
+    turn: turns.Turn | None = None,
+) -> bytes:
     """Return received bytes; raise ConnectionResetError on a reset.
 
     The sockets of eventlet report a reset as the end of the data. A truncated
     body that is delimited by the end of its connection would look complete.
+    A wait restarts the turn of the task.
     """
     raw_socket = getattr(sock, "fd", None)
     if raw_socket is None:
@@ -135,6 +168,8 @@
             return bytes(raw_socket.recv(size))
         except BlockingIOError:
             _wait_readable(raw_socket, timeout)
+            if turn is not None:
+                turn.restart()
 
 
 def _receive_blocking(sock: Any, size: int, timeout: float | None) -> bytes:
--- a/src/hickorythread/http_listener.py
+++ b/src/hickorythread/http_listener.py
@@ -15,6 +15,7 @@
 from hickorythread import http_client
 from hickorythread import http_protocol
 from hickorythread import logs
+from hickorythread import turns
 
 # The listener itself is unusable; any other error concerns one connection or
 # passes.
@@ -110,11 +111,13 @@
 
         Raises OSError if the listener is unusable.
         """
+        turn = turns.Turn()
         try:
             while True:
                 sock = self._accept()
                 if sock is not None:
                     self._admit(sock)
+                turn.spend(turns.MESSAGE_UNITS)
         except hubs.IOClosed:
             # Another task has closed the listener. This is noticed at any
             # time after, once its descriptor is used again.
--- a/src/hickorythread/http_protocol.py
+++ b/src/hickorythread/http_protocol.py
@@ -29,6 +29,7 @@
 from hickorythread import logs
 from hickorythread import memory_budget
 from hickorythread import pipelining
+from hickorythread import turns
 
 MAX_DISCARDED_BYTES = 2 * 1024 * 1024
 # How long a connection is kept after its last response, so that the caller can
@@ -338,6 +339,8 @@
 
     def _may_continue(self) -> bool:
         """Wait until the next request may be read; False if none may."""
+        # Before a request is begun: one that has been read must not wait here.
+        self.rfile.turn.spend(turns.MESSAGE_UNITS)
         if not (self.closing or self.responses.may_read()):
             self.wait_until(lambda: self.closing or self.responses.may_read())
         return not self.closing
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -11,6 +11,7 @@
 import eventlet
 
 from hickorythread import codec
+from hickorythread import connection_reader
 from hickorythread import deadlines
 from hickorythread import descriptors
 from hickorythread import events
@@ -21,6 +22,7 @@
 from hickorythread import messages
 from hickorythread import readers
 from hickorythread import token_bucket
+from hickorythread import turns
 from hickorythread import utils
 
 READ_BYTES = 64 * 1024
@@ -95,6 +97,7 @@
         "awaiting_offset",
         "heard_at",
         "incomplete_since",
+        "turn",
     )
 
     def __init__(
@@ -121,6 +124,7 @@
         self.awaiting_offset: list[tuple[Any, float]] = []
         self.heard_at = manager.clock.monotonic()
         self.incomplete_since: float | None = None
+        self.turn = turns.Turn()
 
     def send(self, message: messages.Message) -> bool:
         """Queue a message; returns False once the stream is closed."""
@@ -217,13 +221,18 @@
         reason = "closed by peer"
         try:
             while not self.closed:
-                data = self.sock.recv(READ_BYTES)
+                self.turn.spend(turns.RECEIVE_UNITS)
+                data = connection_reader.receive(
+                    self.sock, READ_BYTES, turn=self.turn
+                )
                 if not data:
                     break
                 self.heard_at = self.manager.clock.monotonic()
                 results = self.decoder.feed(data)
                 for result in results:
                     self.manager.handle_decoded(self, result)
+                    # Replies may fail and close the stream meanwhile.
+                    self.turn.spend(turns.MESSAGE_UNITS)
                     if self.closed:
                         break
                 if self.closed:
