Bound the memory and the framing of bytes without end

An operator reported a machine that kept the bytes of a faulty target until it ran out of memory. Here the content of responses was bounded and counted, but not what stands around it: heads took up to 6.5 MB for each response, a body of a client in chunks of two bytes about twenty times its size, an answer of the store 64 MB with its copies, and framing had no limit at all.

The head of a response with its interim ones may have 64 KiB, the framing 256 KiB beyond the content, an answer of the store 16 MB. A watch that is larger is read in pages, since it would fail in the same way again. A body is collected in one buffer.

--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -19,7 +19,12 @@
 from hickorythread import http_requests
 
 MAX_COALESCED_BYTES = 16_384
-MAX_LINE_BYTES = 65_536
+# What a response may have besides its content: the head with the interim ones
+# before it, a line between chunks, and the bytes of all these lines beyond
+# those of the content.
+MAX_HEAD_BYTES = 65_536
+MAX_CHUNK_LINE_BYTES = 1024
+MAX_FRAMING_BYTES = 256 * 1024
 MAX_HEADERS = 100
 MAX_INTERIM_RESPONSES = 10
 # A body that begins with so many chunks is one of chunks.
@@ -32,6 +37,10 @@
 _BODYLESS_STATUSES = (204, 304)
 
 
+class TooLargeError(http.client.HTTPException):
+    """Report a response that is larger than the reader allows."""
+
+
 class Response(http.client.HTTPResponse):
     """Parse the head of a response without the email package.
 
@@ -45,11 +54,15 @@
     body_length: int | None
     fields: list[list[str]]
     chunk_left: int | None
+    head_bytes_left: int
+    framing_bytes_left: int
     _close_conn: Callable[[], None]
     _method: str
 
     def begin(self) -> None:
         """Read the status line and the headers; skips interim responses."""
+        self.head_bytes_left = MAX_HEAD_BYTES
+        self.framing_bytes_left = MAX_FRAMING_BYTES
         status = self._read_status_line()
         self.fields = self._read_headers()
         for _ in range(MAX_INTERIM_RESPONSES):
@@ -63,7 +76,7 @@
         self._set_framing(_join_fields(self.fields))
 
     def _read_status_line(self) -> int:
-        line = self._read_line()
+        line = self._read_head_line()
         if not line:
             raise http.client.RemoteDisconnected(
                 "connection closed without a response"
@@ -77,7 +90,7 @@
     def _read_headers(self) -> list[list[str]]:
         fields: list[list[str]] = []
         while True:
-            line = self._read_line()
+            line = self._read_head_line()
             if line == http_requests.CRLF:
                 return fields
             if len(fields) == MAX_HEADERS:
@@ -85,9 +98,14 @@
             name, value = _parse_field(line)
             fields.append([name.text, value])
 
-    def _read_line(self) -> bytes:
-        line: bytes = self.fp.readline(MAX_LINE_BYTES + 1)
-        if len(line) > MAX_LINE_BYTES:
+    def _read_head_line(self) -> bytes:
+        line = self._read_line(self.head_bytes_left)
+        self.head_bytes_left -= len(line)
+        return line
+
+    def _read_line(self, limit: int) -> bytes:
+        line: bytes = self.fp.readline(limit + 1)
+        if len(line) > limit:
             raise http.client.LineTooLong("header line")
         if line and not line.endswith(b"\n"):
             raise http.client.IncompleteRead(line)
@@ -143,6 +161,7 @@
             if size is None:
                 raise http.client.HTTPException("malformed chunk size")
             self.chunk_left = size
+            self.framing_bytes_left += size
             if not size:
                 self._skip_trailers()
                 self._close_conn()
@@ -158,9 +177,12 @@
         raise http.client.HTTPException("too many trailers")
 
     def _read_chunk_line(self) -> bytes:
-        line = self._read_line()
+        line = self._read_line(MAX_CHUNK_LINE_BYTES)
         if not line:
             raise http.client.IncompleteRead(b"")
+        self.framing_bytes_left -= len(line)
+        if self.framing_bytes_left < 0:
+            raise TooLargeError("more framing than content")
         return line
 
     def _parse_length(self, text: str) -> int:
@@ -238,12 +260,12 @@
     """Return the whole body of a response.
 
     reserve is called with a number of bytes before they are kept. Raises
-    HTTPException if it is larger than max_bytes or ends early, and
-    TimeoutError after the deadline of its reader.
+    TooLargeError if it is larger than max_bytes, HTTPException if it ends
+    early, and TimeoutError after the deadline of its reader.
     """
     length = response.body_length
     if length is not None and length > max_bytes:
-        raise http.client.HTTPException("response exceeds the size limit")
+        raise TooLargeError("response exceeds the size limit")
     if length is not None:
         reserve(length)
     chunks: list[bytes] = []
@@ -254,7 +276,7 @@
         chunks.append(chunk)
         size += len(chunk)
         if size > max_bytes:
-            raise http.client.HTTPException("response exceeds the size limit")
+            raise TooLargeError("response exceeds the size limit")
     if length is not None and size != length:
         raise http.client.IncompleteRead(b"", length - size)
     body = b"".join(chunks)
--- a/src/hickorythread/http_requests.py
+++ b/src/hickorythread/http_requests.py
@@ -191,7 +191,7 @@
         "chunked",
         "send_continue",
         "hold",
-        "parts",
+        "received",
         "task",
         "interrupted",
     )
@@ -205,7 +205,8 @@
     ) -> None:
         self.reader = reader
         self.hold = hold
-        self.parts: list[bytes] = []
+        # One buffer: a list takes several times as much for short chunks.
+        self.received = bytearray()
         # The task that waits for bytes of the body.
         self.task: Any = None
         self.interrupted = False
@@ -241,16 +242,16 @@
                 self._read_chunks(limit)
             else:
                 self._read_counted(limit)
-            return b"".join(self.parts)
+            return bytes(self.received)
         finally:
             self.task = None
             self.hold.end_wait()
-            self.parts.clear()
+            self.received = bytearray()
 
     def interrupt(self) -> None:
         """Drop what has arrived; the waiting task gets a TimeoutError."""
         self.interrupted = True
-        self.parts.clear()
+        self.received = bytearray()
         self.hold.release()
         hubs.get_hub().schedule_call_global(0, self._wake)
 
@@ -276,7 +277,7 @@
             )
             if not part:
                 return
-            self.parts.append(part)
+            self.received += part
             limit -= len(part)
 
     def _reserve(self, size: int) -> None:
@@ -298,7 +299,7 @@
             part = self._read_part(size)
             if len(part) < size:
                 raise BodyError("body is cut short")
-            self.parts.append(part)
+            self.received += part
             limit -= size
             if not self.remaining and self._read_line() != CRLF:
                 raise BodyError("chunk is longer than announced")
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -27,7 +27,9 @@
 WATCH_MARGIN_SECONDS = 3.0
 # How long the bytes of a response may take to arrive after its first one.
 TRANSFER_SECONDS = 4.0
-MAX_RESPONSE_BYTES = 64 << 20
+# A page of entries takes at most a few values. A watch whose changes take more
+# is replaced by a read of the pages.
+MAX_RESPONSE_BYTES = 16 << 20
 # Header that counts how often the store was restored from an older copy.
 ERA = "store-era"
 MAX_PAGES = 1000
@@ -146,6 +148,10 @@
         )
         try:
             response = self.sessions[topic].get(url, limits)
+        except http_client.TooLargeError as error:
+            watches = endpoint == "kv-watch"
+            kind = interfaces.HISTORY_UNAVAILABLE if watches else "refused"
+            raise _StoreError(kind, str(error)) from error
         except (
             urllib3.exceptions.HTTPError,
             http.client.HTTPException,
