Check the view with a peer while a watch is silent

Cause: a silent watch counted as "nothing has changed". In groups of up to 12 hosts nothing else brought evacuations and targets; peers named only the version of the configuration.

A host that no peer confirms asks the source beside its watch. A digest keeps hosts from fetching what they know at another revision, and an answer that a peer's view has outrun is not applied again. The watches stay as long as they were.

--- a/src/hickorythread/mesh/exchange.py
+++ b/src/hickorythread/mesh/exchange.py
@@ -23,7 +23,10 @@
 
 
 def make_notice(
-    view: mesh_view.View, fresh: bool, relayed: bool = False
+    view: mesh_view.View,
+    fresh: bool,
+    relayed: bool = False,
+    asks: bool = False,
 ) -> messages.ViewNotice:
     """Build a notice that announces the versions of a view."""
     return messages.ViewNotice(
@@ -34,6 +37,8 @@
         relayed,
         view.position.era,
         view.operator_position.era,
+        asks,
+        view.digest,
     )
 
 
@@ -46,6 +51,32 @@
     )
 
 
+def knows_more(view: mesh_view.View, notice: messages.ViewNotice) -> bool:
+    """Return whether the sender of a notice has other and newer data.
+
+    Two nodes may know the same up to different revisions, since those of a
+    topic are given out between those of others.
+    """
+    if not is_newer(view, notice):
+        return False
+    return (
+        notice.version > view.version
+        or notice.digest != view.digest
+        or notice.era != view.position.era
+        or notice.operator_era != view.operator_position.era
+    )
+
+
+def confirms(view: mesh_view.View, notice: messages.ViewNotice) -> bool:
+    """Return whether the sender of a notice knows all that a view holds."""
+    if notice.version < view.version:
+        return False
+    return notice.digest == view.digest or not (
+        notice.position < view.position
+        or notice.operator_position < view.operator_position
+    )
+
+
 def make_reply(
     view: mesh_view.View, request: messages.ViewRequest, now: float
 ) -> messages.ViewReply | None:
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -246,7 +246,9 @@
     """Tell nearby nodes which view the sender holds.
 
     fresh is True if the source has just responded to the sender, or to a node
-    that has told it so; relayed is True in the second case.
+    that has told it so; relayed is True in the second case. The receiver
+    answers with a notice of its own if asks is True. digest is that of the
+    targets and evacuations, 0 if it is not stated.
     """
 
     __slots__ = (
@@ -257,11 +259,14 @@
         "relayed",
         "era",
         "operator_era",
+        "asks",
+        "digest",
     )
     code = 45
-    types = (int, int, int, bool, bool, int, int)
-    # Nodes of earlier releases relay no notices and do not know the eras.
-    defaults = (False, models.UNKNOWN_ERA, models.UNKNOWN_ERA)
+    types = (int, int, int, bool, bool, int, int, bool, int)
+    # Nodes of earlier releases relay no notices, do not know the eras and do
+    # not ask.
+    defaults = (False, models.UNKNOWN_ERA, models.UNKNOWN_ERA, False, 0)
 
     def __init__(
         self,
@@ -272,6 +277,8 @@
         relayed: bool = False,
         era: int = models.UNKNOWN_ERA,
         operator_era: int = models.UNKNOWN_ERA,
+        asks: bool = False,
+        digest: int = 0,
     ) -> None:
         self.version = version
         self.revision = revision
@@ -280,6 +287,8 @@
         self.relayed = relayed
         self.era = era
         self.operator_era = operator_era
+        self.asks = asks
+        self.digest = digest
 
 
 class Crashed(messages.Message):
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -212,6 +212,7 @@
             ("tick", self._tick),
             ("clients", self._check_clients),
             ("links", self._check_links),
+            ("source-check", self._check_source),
             ("settings", self._poll_settings_file),
             ("flush", self._flush),
         ):
@@ -326,6 +327,17 @@
             ):
                 self.perform(self.entry.peer_silent(host_id, silent, now))
             self.synchronizer.request_if_behind(now)
+            self.synchronizer.check(now)
+
+    def _check_source(self) -> None:
+        """Ask the source beside the watches while no peer confirms them."""
+        while True:
+            eventlet.sleep(LINK_CHECK_SECONDS)
+            now = self.clock.monotonic()
+            for topic in self.synchronizer.topics_to_check(now):
+                result = self.synchronizer.check_source(topic, self.source)
+                if result is not None:
+                    self._record_source_call(topic, result)
 
     def _flush(self) -> None:
         """Write decision log lines and metrics outside the request path."""
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -17,6 +17,7 @@
 from hickorythread.mesh import readership
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import view as mesh_view
+from hickorythread.mesh import view_checks
 from hickorythread.mesh import watcher
 
 REQUEST_INTERVAL_SECONDS = 0.5
@@ -114,6 +115,9 @@
         self.relay_until = 0.0
         self.relayed_at = 0.0
         self.newer_version: tuple[str, int, float] | None = None
+        self.checks = view_checks.ViewChecks(random_source, now)
+        # A peer that knows more, what it announced, and when.
+        self.newer_view: tuple[str, messages.ViewNotice, float] | None = None
         self.requested_at = 0.0
 
     # Handler of the watchers.
@@ -158,7 +162,7 @@
         """Apply a batch of changes to the view and notify the followers."""
         now = self.clock.monotonic()
         self.source_contact_at = now
-        if batch.changes or complete:
+        if complete or (batch.changes and not self._is_older(topic, batch)):
             previously_evacuated = self.view.evacuated
             if topic == interfaces.OPERATOR:
                 self._apply_operator(batch, complete, now)
@@ -167,6 +171,12 @@
             self._view_updated(previously_evacuated)
         self._send_notices(topic == interfaces.TARGETS)
 
+    def _is_older(self, topic: str, batch: interfaces.ChangeBatch) -> bool:
+        """Return whether a peer has told all that changes say, and more."""
+        if topic == interfaces.TARGETS:
+            return batch.position < self.view.position
+        return batch.position < self.view.operator_position
+
     def source_status_changed(self, topic: str, failure: str) -> None:
         """Record that reads fail, or succeed again if failure is empty."""
         if failure:
@@ -260,9 +270,60 @@
                 self.newer_version = None
             elif now - seen_at >= self._max_lag():
                 host_id = holder
+        if not host_id and self.newer_view is not None:
+            holder, notice, seen_at = self.newer_view
+            if not exchange.knows_more(self.view, notice):
+                self.newer_view = None
+            elif now - seen_at >= self._max_lag():
+                # If this one does not answer, the next check finds another.
+                self.newer_view = None
+                host_id = holder
         if host_id:
             self._request_view(host_id, now)
 
+    def check(self, now: float) -> None:
+        """Ask a peer whether the view is current, if that is due."""
+        if not self.view.ready:
+            return
+        host_id = self.checks.peer_to_ask(
+            self.peers.by_host, self.reader_selection.shared, now
+        )
+        if host_id:
+            notice = exchange.make_notice(self.view, False, asks=True)
+            self.peers.send(host_id, notice)
+
+    def topics_to_check(self, now: float) -> list[str]:
+        """Return the topics whose changes to ask the source for."""
+        if not self.view.ready or self.failing_topics:
+            return []
+        if not self.checks.source_due(now):
+            return []
+        return [
+            source_watcher.topic
+            for source_watcher in self.watchers
+            if self.reads_topic(source_watcher.topic)
+        ]
+
+    def check_source(
+        self, topic: str, source: interfaces.Source
+    ) -> interfaces.ReadResult | None:
+        """Apply the changes that a watch should have returned by now."""
+        position = self.known_position(topic)
+        if position is None:
+            return None
+        result = source.watch(topic, position.revision, 0.0)
+        if result.is_error():
+            # The watch finds the failure as well.
+            return result
+        batch = result.ok
+        if batch.position.is_restored_after(position):
+            # The watch reads everything.
+            return result
+        if batch.changes:
+            logs.info("change_missed", topic=topic, revision=batch.revision)
+            self.apply_batch(topic, batch, False)
+        return result
+
     def peer_connected(self, peer: events.Peer) -> None:
         """Announce the view to a new peer; request its view if needed."""
         host_id = peer.host_id
@@ -285,13 +346,20 @@
     ) -> None:
         """Handle the view notice of a node nearby."""
         now = self.clock.monotonic()
+        if notice.asks:
+            self.peers.send(host_id, exchange.make_notice(self.view, False))
+        if exchange.confirms(self.view, notice):
+            self.checks.record_confirmed(now)
         if notice.fresh:
             self.source_contact_at = now
             self.reader_selection.record_contact(host_id, now)
+        elif not self.reader_selection.shared and self.view.ready:
+            self._note_newer_view(host_id, notice, now)
+            return
         # A relayed notice is not relayed again: contacts that hear only of
         # each other must not take that for contact with the source.
         relays = notice.fresh and not notice.relayed
-        if exchange.is_newer(self.view, notice):
+        if self._knows_more(notice):
             if relays:
                 self.relay_until = now + MAX_RELAY_DELAY_SECONDS
             if now - self.requested_at >= MIN_REQUEST_INTERVAL_SECONDS:
@@ -299,6 +367,19 @@
         elif relays:
             self._relay_notice(now)
 
+    def _knows_more(self, notice: messages.ViewNotice) -> bool:
+        """Return whether to request the view that a notice announces."""
+        if notice.fresh:
+            return exchange.is_newer(self.view, notice)
+        return exchange.knows_more(self.view, notice)
+
+    def _note_newer_view(
+        self, host_id: str, notice: messages.ViewNotice, now: float
+    ) -> None:
+        """Remember a peer that knows what this node may read in a moment."""
+        if self.newer_view is None and exchange.knows_more(self.view, notice):
+            self.newer_view = (host_id, notice, now)
+
     def version_seen(self, host_id: str, version: int) -> None:
         """Record the version a peer holds if it is newer than this node's."""
         if version <= self.view.version:
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+import xxhash
+
 from hickorythread import codec
 from hickorythread.mesh import ends
 from hickorythread.mesh import evacuations
@@ -41,6 +43,7 @@
     def __init__(self) -> None:
         self.versions = versions.Versions()
         self.targets: dict[str, models.Target] = {}
+        self.targets_digest = 0
         # Built again after the targets have changed, None until then.
         self.index: dict[str, list[models.Target]] | None = None
         self.packed_targets: bytes | None = None
@@ -59,6 +62,14 @@
         logs, self.logs = self.logs, []
         return logs
 
+    @property
+    def digest(self) -> int:
+        """Return a number that tells the targets and evacuations apart."""
+        digest = self.targets_digest
+        for domain in self.evacuated:
+            digest ^= xxhash.xxh3_64_intdigest(domain.encode())
+        return digest
+
     @property
     def revision(self) -> int:
         """Return the revision up to which targets are known, 0 if none."""
@@ -194,8 +205,7 @@
             return
         if target.draining and self._record_end(target):
             self._log("target_draining", target)
-        self.targets[target.id] = target
-        self._targets_changed()
+        self._store(target)
 
     def note_end(
         self, target_id: str, host_id: str, started_at_ms: int, source: str
@@ -221,8 +231,7 @@
             )
         )
         if target is not None and self.ends.includes(target):
-            self.targets[target_id] = target.as_draining()
-            self._targets_changed()
+            self._store(target.as_draining())
 
     def _record_end(self, target: models.Target) -> bool:
         """Remember that a process ends; return whether that was not known."""
@@ -421,6 +430,7 @@
         target = self.targets.pop(target_id, None)
         if target is None:
             return
+        self.targets_digest ^= _hash(target)
         self.departed[target_id] = target.started_at_ms
         self.ends.forget_undated(target_id)
         while len(self.departed) > MAX_DEPARTED_TARGETS:
@@ -450,11 +460,25 @@
         )
         self.logs.append(log)
 
+    def _store(self, target: models.Target) -> None:
+        """Add or replace a target."""
+        previous = self.targets.get(target.id)
+        if previous is not None:
+            self.targets_digest ^= _hash(previous)
+        self.targets_digest ^= _hash(target)
+        self.targets[target.id] = target
+        self._targets_changed()
+
     def _targets_changed(self) -> None:
         self.index = None
         self.packed_targets = None
 
 
+def _hash(target: models.Target) -> int:
+    """Return a number of 64 bits that is the same on all nodes."""
+    return int(xxhash.xxh3_64_intdigest(codec.pack(target.values())))
+
+
 def _advance(
     known: models.Position, position: models.Position
 ) -> models.Position:
--- /dev/null
+++ b/src/hickorythread/mesh/view_checks.py
@@ -0,0 +1,67 @@
+"""Decides when a node asks others whether its view is still current.
+
+A watch without an answer does not mean that nothing has changed: its answer
+may have been lost. So each node tells a peer at short intervals what it
+knows, and the peer answers with what it knows itself. A node that no peer
+confirms asks the source, beside the watch.
+
+The cost does not grow with the mesh: each node sends one question and on
+average one answer in an interval.
+"""
+
+from collections.abc import Collection
+
+from hickorythread import interfaces as base_interfaces
+
+# A change has to be in force within two seconds. A question may get lost, or
+# reach a peer that is behind as well, so that this leaves room for another.
+CHECK_SECONDS = 0.5
+# Nodes that others read for hear of each response of the source as well.
+SHARED_CHECK_SECONDS = 1.0
+UNCONFIRMED_SECONDS = 1.5
+SOURCE_CHECK_SECONDS = 1.0
+
+
+class ViewChecks:
+    """Choose whom to ask; remember when the view was last confirmed.
+
+    confirmed_at is when a peer last knew no more than this node.
+    """
+
+    __slots__ = (
+        "random_source",
+        "asked_at",
+        "confirmed_at",
+        "source_asked_at",
+    )
+
+    def __init__(
+        self, random_source: base_interfaces.RandomSource, now: float
+    ) -> None:
+        self.random_source = random_source
+        self.asked_at = now
+        self.confirmed_at = now
+        self.source_asked_at = now
+
+    def peer_to_ask(
+        self, connected: Collection[str], shared: bool, now: float
+    ) -> str:
+        """Return the host to ask now, empty if none is due."""
+        interval = SHARED_CHECK_SECONDS if shared else CHECK_SECONDS
+        if now - self.asked_at < interval or not connected:
+            return ""
+        self.asked_at = now
+        return self.random_source.choice(list(connected))
+
+    def record_confirmed(self, now: float) -> None:
+        """Record that a peer knows no more than this node."""
+        self.confirmed_at = now
+
+    def source_due(self, now: float) -> bool:
+        """Return whether to ask the source, since no peer has confirmed."""
+        if now - self.confirmed_at < UNCONFIRMED_SECONDS:
+            return False
+        if now - self.source_asked_at < SOURCE_CHECK_SECONDS:
+            return False
+        self.source_asked_at = now
+        return True
--- a/tests/view_domain.py
+++ b/tests/view_domain.py
@@ -15,6 +15,7 @@
 RESPONSE_DELAY_SECONDS = 0.004
 MESSAGE_DELAY_SECONDS = 0.001
 CHECK_INTERVAL_SECONDS = 0.2
+OPERATOR_CHANGES = (interfaces.PutConfiguration, interfaces.SetEvacuated)
 
 
 class Source:
@@ -25,6 +26,7 @@
         self.revision = 10
         self.configuration = build.make_configuration(1)
         self.targets = {}
+        self.evacuated = set()
         self.history = []
         self.unavailable = False
         self.calls = 0
@@ -35,6 +37,8 @@
             self.configuration = change.configuration
         elif isinstance(change, interfaces.PutTarget):
             self.targets[change.target.id] = change.target
+        elif isinstance(change, interfaces.SetEvacuated):
+            self.evacuated ^= {change.failure_domain}
         else:
             self.targets.pop(change.target_id)
         self.history.append((self.revision, change))
@@ -47,6 +51,10 @@
         """Return everything under a topic."""
         if topic == interfaces.OPERATOR:
             changes = [interfaces.PutConfiguration(self.configuration)]
+            changes += [
+                interfaces.SetEvacuated(domain, True)
+                for domain in self.evacuated
+            ]
         else:
             changes = [
                 interfaces.PutTarget(target)
@@ -61,14 +69,17 @@
             for revision, change in self.history
             if revision > after
             and (topic == interfaces.OPERATOR)
-            == isinstance(change, interfaces.PutConfiguration)
+            == isinstance(change, OPERATOR_CHANGES)
         ]
         if not changes:
             return None
-        superseded = 0
-        if topic == interfaces.OPERATOR:
-            superseded = len(changes) - 1
-            changes = changes[-1:]
+        versions = [
+            change
+            for change in changes
+            if isinstance(change, interfaces.PutConfiguration)
+        ]
+        superseded = max(0, len(versions) - 1)
+        changes = [change for change in changes if change not in versions[:-1]]
         return expression.Ok(
             interfaces.ChangeBatch(changes, self.revision, superseded)
         )
@@ -83,6 +94,8 @@
         self.is_isolated = False
         # Loses all messages from and to other members.
         self.is_silent = False
+        # The topics whose watches get no answer any more.
+        self.lost_topics = set()
         self.by_host = {}
         self.versions = []
         self.synchronizer = synchronizer.Synchronizer(
@@ -135,10 +148,15 @@
     def check(self):
         self.synchronizer.expire(self.domain.now)
         self.synchronizer.request_if_behind(self.domain.now)
+        self.synchronizer.check(self.domain.now)
+        for topic in self.synchronizer.topics_to_check(self.domain.now):
+            self.synchronizer.check_source(topic, SourceCheck(self))
         self.domain.schedule(CHECK_INTERVAL_SECONDS, self.check)
 
     def step(self, watcher, since=None):
         """Run one step of a watcher; a watch polls until its timeout."""
+        if watcher.topic in self.lost_topics and watcher.position is not None:
+            return
         source = self.domain.source
         now = self.domain.now
         call = SourceCall(self, source, now if since is None else since)
@@ -182,6 +200,24 @@
         return expression.Ok(interfaces.ChangeBatch([], after))
 
 
+class SourceCheck:
+    """Answers a watch that does not wait."""
+
+    def __init__(self, member):
+        self.member = member
+        self.source = member.domain.source
+
+    def watch(self, topic, after, wait):
+        assert wait == 0.0
+        self.source.calls += 1
+        if self.source.unavailable or self.member.is_isolated:
+            return expression.Error(interfaces.SourceFailure("unreachable"))
+        result = self.source.watch(topic, after)
+        if result is None:
+            return expression.Ok(interfaces.ChangeBatch([], after))
+        return result
+
+
 class Domain:
     """The members of a region, their clock and their messages.
 
