Use a target only once an entry has named its service

Cause: the host took whoever answered the probe at the address for its target. An id that the view did not know counted as usable, and Expect-Instance then named that id.

An id without an entry is now refused as unregistered.

--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -379,9 +379,15 @@
         if self.doubt.is_leaving:
             return reasons.LEAVING
         target = self.view.targets.get(self.instance)
-        if target is not None and target.service != self.settings.service:
+        if self._has_left(target):
+            return reasons.LEAVING
+        known = target or self.registration
+        if known is None or known.id != self.instance:
+            # Its service is not known: targets of others get used addresses.
+            return reasons.UNREGISTERED
+        if known.service != self.settings.service:
             return reasons.OTHER_SERVICE
-        return reasons.LEAVING if self._has_left(target) else ""
+        return ""
 
     def _has_left(self, target: models.Target | None) -> bool:
         """Return whether the registration of the target tells its end."""
--- a/src/hickorythread/mesh/reasons.py
+++ b/src/hickorythread/mesh/reasons.py
@@ -20,6 +20,8 @@
 EVACUATED = "evacuated"
 TARGET_DOWN = "target-down"
 OTHER_SERVICE = "other-service"
+# The target that answers at the address has no entry yet.
+UNREGISTERED = "unregistered"
 UNAVAILABLE = frozenset(
     (
         STARTING,
@@ -29,6 +31,7 @@
         EVACUATED,
         TARGET_DOWN,
         OTHER_SERVICE,
+        UNREGISTERED,
     )
 )
 
