Read the whole topic if a check finds its history gone

A watch that hangs is checked with the source by turns. If the source was restored or had dropped its history, that check found nothing, and the host waited for the watch after all (up to 28 s). test_check_reads_all_if_the_changes_are_gone failed for both before this change.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -330,7 +330,7 @@
             self.synchronizer.check(now)
 
     def _check_source(self) -> None:
-        """Ask the source beside the watches while no peer confirms them."""
+        """Ask the source for changes that the watches have missed."""
         while True:
             eventlet.sleep(LINK_CHECK_SECONDS)
             now = self.clock.monotonic()
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -309,21 +309,24 @@
     def check_source(
         self, topic: str, source: interfaces.Source
     ) -> interfaces.ReadResult | None:
-        """Apply the changes that a watch should have returned by now."""
+        """Apply the changes that a watch should have returned by now.
+
+        Returns what the source answered, None if it was not asked.
+        """
         position = self.known_position(topic)
         if position is None:
             return None
         result = source.watch(topic, position.revision, 0.0)
+        complete = _needs_list(result, position)
+        if complete:
+            result = source.read(topic)
         if result.is_error():
-            # The watch finds the failure as well.
+            # The watch finds a source that fails as well.
             return result
         batch = result.ok
-        if batch.position.is_restored_after(position):
-            # The watch reads everything.
-            return result
-        if batch.changes:
+        if batch.changes or complete:
             logs.info("change_missed", topic=topic, revision=batch.revision)
-            self.apply_batch(topic, batch, False)
+            self.apply_batch(topic, batch, complete)
         return result
 
     def peer_connected(self, peer: events.Peer) -> None:
@@ -462,3 +465,13 @@
         for host_id, domain in list(self.peer_domains.items()):
             if domain in self.reader_selection.domains:
                 self.peers.send(host_id, notice)
+
+
+def _needs_list(
+    result: interfaces.ReadResult, position: models.Position
+) -> bool:
+    """Return whether changes since a position are not to be had."""
+    if result.is_error():
+        return bool(result.error.kind == interfaces.HISTORY_UNAVAILABLE)
+    answered: models.Position = result.ok.position
+    return answered.is_restored_after(position)
--- a/tests/test_lost_watch.py
+++ b/tests/test_lost_watch.py
@@ -1,5 +1,6 @@
 """Tests of watches whose answer is lost: nothing tells that it is missing."""
 
+import expression
 import pytest
 
 from hickorythread.mesh import exchange
@@ -125,6 +126,43 @@
     assert lagging(domain) == []
 
 
+class ForgetfulSource:
+    """Has no history, and a list of one version."""
+
+    def __init__(self, failure=None, era=1):
+        self.failure = failure
+        self.era = era
+
+    def watch(self, topic, after, wait):
+        if self.failure:
+            return expression.Error(interfaces.SourceFailure(self.failure))
+        return expression.Ok(interfaces.ChangeBatch([], after, era=self.era))
+
+    def read(self, topic):
+        change = interfaces.PutConfiguration(build.make_configuration(7))
+        return expression.Ok(
+            interfaces.ChangeBatch([change], 900, era=self.era)
+        )
+
+
+@pytest.mark.parametrize(
+    "source, version",
+    [
+        (ForgetfulSource(interfaces.HISTORY_UNAVAILABLE), 7),
+        (ForgetfulSource("unreachable"), 1),
+        (ForgetfulSource(era=2), 7),
+        (ForgetfulSource(era=1), 1),
+    ],
+)
+def test_check_reads_all_if_the_changes_are_gone(source, version):
+    """Guards against a check that leaves a lost history to a lost watch."""
+    member = make_domain(3).readers()[0]
+    known = member.view.operator_position.revision
+    member.view.operator_position = build.make_position(known, era=1)
+    member.synchronizer.check_source(interfaces.OPERATOR, source)
+    assert member.view.version == version
+
+
 def count_calls(size):
     """Return the calls to the source in 30 s in which nothing changes."""
     domain = make_domain(size)
