--- a/tests/endless.py
+++ b/tests/endless.py
@@ -55,8 +55,8 @@
         pass
 
 
-class EndlessConnection:
-    """Stand for a client's connection to a peer that never stops sending."""
+class Connection:
+    """Stand for the connection of an HTTP client."""
 
     def __init__(self, sock):
         self.sock = sock
--- a/tests/test_damaged_responses.py
+++ b/tests/test_damaged_responses.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from hickorythread import connection_reader
 from hickorythread import http_client
 from hickorythread import messages as base_messages
 from hickorythread import utils
 from hickorythread.mesh import events
 from hickorythread.mesh import target_client
 from hickorythread.platform import headers
+from tests import endless
 from tests import mesh_builders as build
 
 BODY = b"the whole body"
@@ -43,14 +43,6 @@
     def settimeout(self, seconds):
         pass
 
-
-class FakeConnection:
-    """Stand for a connection whose response has arrived."""
-
-    def __init__(self, data):
-        self.sock = FakeSocket(data)
-        self.reader = connection_reader.ConnectionReader(self.sock)
-
     def close(self):
         pass
 
@@ -60,7 +52,7 @@
     client = target_client.TargetClient(
         "127.0.0.1:1", headers.Headers(), utils.SystemClock()
     )
-    client._connect = lambda: FakeConnection(data)
+    client._connect = lambda: endless.Connection(FakeSocket(data))
     call = build.make_call(request_id="r1")
     deadline = client.clock.monotonic() + 5.0
     return client.run(events.Run(1, call, "t1", deadline))
--- a/tests/test_endless_senders.py
+++ b/tests/test_endless_senders.py
@@ -64,7 +64,7 @@
     client = target_client.TargetClient(
         "127.0.0.1:1", headers.Headers(), utils.SystemClock()
     )
-    client._connect = lambda: endless.EndlessConnection(sock)
+    client._connect = lambda: endless.Connection(sock)
     return client
 
 
@@ -120,7 +120,7 @@
     monkeypatch.setattr(
         http_client.Session,
         "_acquire",
-        lambda *_: endless.EndlessConnection(sock),
+        lambda *_: endless.Connection(sock),
     )
     with endless.others() as others:
         assert client.watch(topic, 1, 0.0).is_error()
@@ -163,7 +163,7 @@
 def make_chunked_body(size):
     """Return a body that comes in chunks of a size without an end."""
     piece = b"%x\r\n%s\r\n" % (size, b"a" * size)
-    connection = endless.EndlessConnection(endless.EndlessSocket(b"", piece))
+    connection = endless.Connection(endless.EndlessSocket(b"", piece))
     head = http_requests.Head("POST", "/", "HTTP/1.1")
     head.add_line(b"Transfer-Encoding: chunked\r\n")
     hold = memory_budget.MemoryBudget.unlimited().hold()
@@ -223,7 +223,7 @@
     """Guards against a response that a busy process loses at its deadline."""
     piece = b"a"
     sock = endless.EndlessSocket(STATUS + b"\r\n", piece)
-    reader = endless.EndlessConnection(sock).reader
+    reader = endless.Connection(sock).reader
     reader.limit(-1.0)
     assert len(reader.read(1_900_000)) == 1_900_000
     with pytest.raises(TimeoutError):
--- a/tests/test_endless_sizes.py
+++ b/tests/test_endless_sizes.py
@@ -22,7 +22,7 @@
     monkeypatch.setattr(
         http_client.Session,
         "_acquire",
-        lambda *_: endless.EndlessConnection(endless.EndlessSocket(*sent)),
+        lambda *_: endless.Connection(endless.EndlessSocket(*sent)),
     )
     return store.StoreClient("127.0.0.1:1", build.REGIONS)
 
