Name the checks of the view after whom they ask

Read as a newcomer: check() and check_source() of the synchronizer both check the view, one with a peer, one with the source; a local variable had the name of a module; a comment of turns.py named a time that was measured; and confirmed_at is also set by a peer that knows more.

No behaviour changes.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -327,7 +327,7 @@
             ):
                 self.perform(self.entry.peer_silent(host_id, silent, now))
             self.synchronizer.request_if_behind(now)
-            self.synchronizer.check(now)
+            self.synchronizer.check_with_peer(now)
 
     def _check_source(self) -> None:
         """Ask the source for changes that the watches have missed."""
@@ -335,7 +335,9 @@
             eventlet.sleep(LINK_CHECK_SECONDS)
             now = self.clock.monotonic()
             for topic in self.synchronizer.topics_to_check(now):
-                result = self.synchronizer.check_source(topic, self.source)
+                result = self.synchronizer.check_with_source(
+                    topic, self.source
+                )
                 if result is not None:
                     self._record_source_call(topic, result)
 
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -281,7 +281,7 @@
         if host_id:
             self._request_view(host_id, now)
 
-    def check(self, now: float) -> None:
+    def check_with_peer(self, now: float) -> None:
         """Ask a peer whether the view is current, if that is due."""
         if not self.view.ready:
             return
@@ -306,7 +306,7 @@
             if self.reads_topic(source_watcher.topic)
         ]
 
-    def check_source(
+    def check_with_source(
         self, topic: str, source: interfaces.Source
     ) -> interfaces.ReadResult | None:
         """Apply the changes that a watch should have returned by now.
--- a/src/hickorythread/mesh/view_checks.py
+++ b/src/hickorythread/mesh/view_checks.py
@@ -29,7 +29,7 @@
 class ViewChecks:
     """Choose whom to ask; remember when the view was last confirmed.
 
-    confirmed_at is when a peer last knew no more than this node.
+    confirmed_at is when a peer that is not behind was last heard of.
     """
 
     __slots__ = (
@@ -60,7 +60,7 @@
         return self.random_source.choice(list(connected))
 
     def record_confirmed(self, now: float) -> None:
-        """Record that a peer knows no more than this node."""
+        """Record that a peer knows at least what this node knows."""
         self.confirmed_at = now
 
     def source_due(self, nodes: int, now: float) -> bool:
@@ -70,8 +70,9 @@
         """
         if now - self.confirmed_at >= UNCONFIRMED_SECONDS:
             nodes = 1
-        turns = (now - self.source_asked_at) / SOURCE_CHECK_SECONDS
-        if not nodes or turns < nodes * self.turn_factor:
+        waited = now - self.source_asked_at
+        turn = nodes * self.turn_factor * SOURCE_CHECK_SECONDS
+        if not nodes or waited < turn:
             return False
         self.source_asked_at = now
         # Nodes that started together do not ask together.
--- a/src/hickorythread/turns.py
+++ b/src/hickorythread/turns.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-# A turn of so many units takes about a millisecond.
+# Short beside the time that a request may take, long beside that of a switch.
 UNITS_PER_TURN = 256
 # What a receive of up to 64 KiB and the handling of a request or of a message
 # count; a line or a chunk counts 1.
--- a/tests/test_lost_watch.py
+++ b/tests/test_lost_watch.py
@@ -159,7 +159,7 @@
     member = make_domain(3).readers()[0]
     known = member.view.operator_position.revision
     member.view.operator_position = build.make_position(known, era=1)
-    member.synchronizer.check_source(interfaces.OPERATOR, source)
+    member.synchronizer.check_with_source(interfaces.OPERATOR, source)
     assert member.view.version == version
 
 
--- a/tests/view_domain.py
+++ b/tests/view_domain.py
@@ -148,9 +148,9 @@
     def check(self):
         self.synchronizer.expire(self.domain.now)
         self.synchronizer.request_if_behind(self.domain.now)
-        self.synchronizer.check(self.domain.now)
+        self.synchronizer.check_with_peer(self.domain.now)
         for topic in self.synchronizer.topics_to_check(self.domain.now):
-            self.synchronizer.check_source(topic, SourceCheck(self))
+            self.synchronizer.check_with_source(topic, SourceCheck(self))
         self.domain.schedule(CHECK_INTERVAL_SECONDS, self.check)
 
     def step(self, watcher, since=None):
