Split the choice of whom to ask, and test the loop of a listener

request_if_behind() held three choices; each has a method now. The loop that accepts connections was changed for fairness without a test: it has one. The tables of responses without end stood twice in the tests.

--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -259,28 +259,41 @@
         """Request a peer's view if reads fail or this node lags behind."""
         if now - self.requested_at < REQUEST_INTERVAL_SECONDS:
             return
-        host_id = ""
         if self.failing_topics or not self.view.ready:
-            connected = sorted(self.peers.by_host)
-            if connected:
-                host_id = self.random_source.choice(connected)
-        elif self.newer_version is not None:
-            holder, version, seen_at = self.newer_version
-            if version <= self.view.version:
-                self.newer_version = None
-            elif now - seen_at >= self._max_lag():
-                host_id = holder
-        if not host_id and self.newer_view is not None:
-            holder, notice, seen_at = self.newer_view
-            if not exchange.knows_more(self.view, notice):
-                self.newer_view = None
-            elif now - seen_at >= self._max_lag():
-                # If this one does not answer, the next check finds another.
-                self.newer_view = None
-                host_id = holder
+            host_id = self._any_peer()
+        else:
+            host_id = self._holder_of_version(now) or self._holder_of_view(now)
         if host_id:
             self._request_view(host_id, now)
 
+    def _any_peer(self) -> str:
+        connected = sorted(self.peers.by_host)
+        return self.random_source.choice(connected) if connected else ""
+
+    def _holder_of_version(self, now: float) -> str:
+        """Return who holds a version that this node lacks for too long."""
+        if self.newer_version is None:
+            return ""
+        holder, version, seen_at = self.newer_version
+        if version <= self.view.version:
+            self.newer_version = None
+            return ""
+        return holder if now - seen_at >= self._max_lag() else ""
+
+    def _holder_of_view(self, now: float) -> str:
+        """Return who knows what this node has not read for too long."""
+        if self.newer_view is None:
+            return ""
+        holder, notice, seen_at = self.newer_view
+        if not exchange.knows_more(self.view, notice):
+            self.newer_view = None
+            return ""
+        if now - seen_at < self._max_lag():
+            return ""
+        # If this one does not answer, the next check finds another.
+        self.newer_view = None
+        return holder
+
     def check_with_peer(self, now: float) -> None:
         """Ask a peer whether the view is current, if that is due."""
         if not self.view.ready:
--- a/tests/test_damaged_responses.py
+++ b/tests/test_damaged_responses.py
@@ -89,6 +89,17 @@
             assert "Hickorythread-Server-Stamp" in dict(result.headers), data
 
 
+@pytest.mark.parametrize("chunks", [1, 99, 100, 101, 500])
+def test_chunks_whose_field_became_another_are_no_body(chunks):
+    """Guards against chunk sizes in a body that ends with its connection."""
+    head = CHUNKED.replace(b"Encoding", b"Encodinf")
+    body = b"1\r\na\r\n" * chunks
+    assert isinstance(run(head + body + b"0\r\n\r\n"), events.Failure)
+    plain = body + b"no chunk\r\n\r\n"
+    if chunks < http_client.MAX_CHECKED_CHUNKS:
+        assert run(head + plain).body == plain
+
+
 EMPTY_FIELDS = (
     b"Transfer-Encoding:\r\n",
     b"Transfer-Encoding: \r\n",
--- a/tests/test_endless_senders.py
+++ b/tests/test_endless_senders.py
@@ -7,11 +7,13 @@
 import tracemalloc
 
 import eventlet
+from eventlet import hubs
 import pytest
 
 from hickorythread import codec
 from hickorythread import connection_table
 from hickorythread import http_client
+from hickorythread import http_listener
 from hickorythread import http_protocol
 from hickorythread import http_requests
 from hickorythread import memory_budget
@@ -27,6 +29,7 @@
 from hickorythread.platform import store
 from tests import endless
 from tests import mesh_builders as build
+from tests import test_target_client
 
 STATUS = (
     b"HTTP/1.1 200 OK\r\n"
@@ -34,20 +37,12 @@
     b"Hickorythread-Server-Stamp: s\r\n"
 )
 CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
-RESPONSES = {
-    "line": (b"", b"a"),
-    "header": (STATUS + b"X-A: ", b"a"),
-    "headers": (STATUS, b"X-A: a\r\n"),
-    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    "body that ends with the connection": (STATUS + b"\r\n", b"a"),
+RESPONSES = test_target_client.ENDLESS | {
     "body with a length": (STATUS + b"Content-Length: 9999999\r\n\r\n", b"a"),
-    "chunks of one byte": (CHUNKED, b"1\r\na\r\n"),
     "chunks of two bytes": (CHUNKED, b"2\r\nab\r\n"),
     "chunks of 16 bytes": (CHUNKED, b"10\r\n" + b"a" * 16 + b"\r\n"),
     "chunks with extensions": (CHUNKED, b"1;%s\r\na\r\n" % (b"x" * 900)),
     "long chunks": (CHUNKED, b"4000\r\n" + b"a" * 0x4000 + b"\r\n"),
-    "chunk size": (CHUNKED, b"0"),
-    "trailers": (CHUNKED + b"0\r\n", b"X-A: a\r\n"),
     "responses to others": (
         b"",
         b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -179,6 +174,39 @@
     assert 50_000 / others.turns < turns.UNITS_PER_TURN
 
 
+class BusyListener:
+    """Give out connections without a wait, and close after a number."""
+
+    def __init__(self, count, others):
+        self.left = count
+        self.others = others
+        self.turns = 0
+
+    def accept(self):
+        if not self.left:
+            self.turns = self.others.turns
+            raise hubs.IOClosed
+        self.left -= 1
+        sock = endless.EndlessSocket(b"", b"a")
+        sock.shutdown(None)
+        return sock, ("127.0.0.1", 1)
+
+
+def test_connections_without_end_leave_others_their_turns():
+    """Guards against clients that connect without a pause."""
+    with endless.others() as others:
+        listener = BusyListener(2000, others)
+        http_listener.HttpListener(
+            listener,
+            None,
+            http_protocol.ConnectionOptions(),
+            http_listener.FixedAdmission(10_000),
+            connection_table.ConnectionTable(),
+        ).run()
+    most = turns.UNITS_PER_TURN // turns.MESSAGE_UNITS
+    assert listener.turns >= 2000 // most
+
+
 class PeerHandler:
     """Count the messages of a peer; close its stream after the last."""
 
