Count the turns of a group among its own hosts

A small group beside large ones counted all connected hosts, of which most take no turn: with 195 hosts a group of four would have asked the source every 49 s in all. test_small_group_in_a_large_mesh_asks_as_often failed before. The hosts of a group now ask about once a second together, in each region.

--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -309,8 +309,8 @@
         """Return the topics whose changes to ask the source for."""
         if not self.view.ready or self.failing_topics:
             return []
-        shared = self.reader_selection.shared
-        nodes = 0 if shared else 1 + len(self.peers.by_host)
+        selection = self.reader_selection
+        nodes = 0 if selection.shared else len(selection.ranked)
         if not self.checks.source_due(nodes, now):
             return []
         return [
--- a/src/hickorythread/mesh/view_checks.py
+++ b/src/hickorythread/mesh/view_checks.py
@@ -8,8 +8,8 @@
 no peer confirms does not wait for its turn.
 
 The cost does not grow with the mesh: each node sends one question and on
-average one answer in an interval, and all nodes that take turns together send
-the source about one question a second for each topic.
+average one answer in an interval, and all nodes of a group that take turns
+send the source about one question a second for each topic.
 """
 
 from collections.abc import Collection
--- a/tests/test_lost_watch.py
+++ b/tests/test_lost_watch.py
@@ -179,6 +179,22 @@
         assert count_calls(size) <= size * 2 * 3 + 2 * 30 * 1.3
 
 
+def test_small_group_in_a_large_mesh_asks_as_often():
+    """Guards against turns that are counted among hosts that take none."""
+    names = ("launceston",) * 10 + ("devonport", "burnie")
+    domain = view_domain.Domain(24, names)
+    domain.run_for(synchronizer.STARTUP_SECONDS)
+    small = domain.members["10.0.0.10"]
+    assert not small.synchronizer.reader_selection.shared
+    asked = 0
+    for _ in range(150):
+        domain.now += view_domain.CHECK_INTERVAL_SECONDS
+        small.synchronizer.checks.record_confirmed(domain.now)
+        asked += bool(small.synchronizer.topics_to_check(domain.now))
+    # Four hosts take turns in 30 s.
+    assert 5 <= asked <= 10
+
+
 @pytest.mark.parametrize("size", [12, 100, 1000])
 def test_checks_of_a_node_do_not_grow_with_the_mesh(size):
     """Guards against messages that grow with the number of hosts."""
