Show which version routes, and how old the last proof of each topic is

Change: a rejected request names the version that routed it and the known revision of the operator's entries; /status and the metrics show the routing version, the known revisions and the age of the last proof that a topic is current. An answer proves what was written before its call was sent, or before the end of the wait if it has no changes. No decision changes.

Result: the tests of planes, synchronizers, watches and proofs pass.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -78,6 +78,11 @@
         # A restarted process must not reuse the call ids of its predecessor.
         self.last_call_id = random_source.getrandbits(48)
 
+    @property
+    def routing_version(self) -> int:
+        """Return the version that routes requests, 0 if there is none."""
+        return self.router.configuration.version if self.router else 0
+
     def request(
         self,
         request: events.Request,
@@ -540,6 +545,8 @@
                 path=request.path,
                 status=status,
                 reason=reason,
+                routed_by=self.routing_version,
+                operator_revision=self.view.operator_position.revision,
             ),
         ]
 
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -694,7 +694,10 @@
         """Return the node's view and load for operators."""
         return {
             "version": self.view.version,
+            "routing_version": self.entry.routing_version,
             "revision": self.view.revision,
+            "operator_revision": self.view.operator_position.revision,
+            "proof_age_seconds": self.synchronizer.proof_ages(),
             "targets": len(self.view.targets),
             "evacuated": sorted(self.view.evacuated),
             "connected": sorted(self.streams.by_host),
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -14,6 +14,7 @@
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
 from hickorythread.mesh import models
+from hickorythread.mesh import proofs
 from hickorythread.mesh import readership
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import view as mesh_view
@@ -116,6 +117,10 @@
         self.relayed_at = 0.0
         self.newer_version: tuple[str, int, float] | None = None
         self.checks = view_checks.ViewChecks(random_source, now)
+        self.proofs = {
+            topic: proofs.TopicProof(now)
+            for topic in (interfaces.OPERATOR, interfaces.TARGETS)
+        }
         # A peer that knows more, what it announced, and when.
         self.newer_view: tuple[str, messages.ViewNotice, float] | None = None
         self.requested_at = 0.0
@@ -149,6 +154,18 @@
             return STARTUP_WATCH_TIMEOUT_SECONDS
         return WATCH_TIMEOUT_SECONDS
 
+    def call_started(self, topic: str, wait: float) -> None:
+        """Record that a watcher calls the source, which may wait."""
+        self.proofs[topic].call_started(wait, self.clock.monotonic())
+
+    def call_ended(self, topic: str, result: interfaces.ReadResult) -> None:
+        """Record that the call of a watcher was answered or has failed."""
+        now = self.clock.monotonic()
+        if result.is_ok():
+            self.proofs[topic].call_answered(bool(result.ok.changes), now)
+        else:
+            self.proofs[topic].call_failed()
+
     def batch_delay(self) -> float:
         """Return how many seconds to batch changes before the next call."""
         now = self.clock.monotonic()
@@ -242,6 +259,14 @@
         for log in self.view.take_logs():
             self.on_decision(log)
 
+    def proof_ages(self) -> dict[str, float]:
+        """Return how long ago each topic was shown to be current."""
+        now = self.clock.monotonic()
+        return {
+            topic: round(proof.age(now), 3)
+            for topic, proof in self.proofs.items()
+        }
+
     # Exchange with peers.
 
     def expire(self, now: float) -> None:
@@ -329,6 +354,7 @@
         position = self.known_position(topic)
         if position is None:
             return None
+        asked_at = self.clock.monotonic()
         result = source.watch(topic, position.revision, 0.0)
         complete = _needs_list(result, position)
         if complete:
@@ -337,6 +363,7 @@
             # The watch finds a source that fails as well.
             return result
         batch = result.ok
+        self.proofs[topic].record(asked_at)
         if batch.changes or complete:
             logs.info("change_missed", topic=topic, revision=batch.revision)
             self.apply_batch(topic, batch, complete)
--- a/src/hickorythread/mesh/telemetry.py
+++ b/src/hickorythread/mesh/telemetry.py
@@ -63,6 +63,7 @@
         self._set_memory_gauges(memory)
         self._set_target_gauges(execution_plane)
         self._set_view_gauges(node_synchronizer, now)
+        self.metrics.set("routing_version", entry_plane.routing_version)
         for service, tokens in entry_plane.budget.tokens.items():
             self.metrics.set(
                 "retry_budget",
@@ -96,6 +97,13 @@
         self.metrics.set(
             "news_age_seconds", now - node_synchronizer.source_contact_at
         )
+        for topic, age in node_synchronizer.proof_ages().items():
+            self.metrics.set("proof_age_seconds", age, topic=topic)
+        for topic, position in (
+            (interfaces.OPERATOR, view.operator_position),
+            (interfaces.TARGETS, view.position),
+        ):
+            self.metrics.set("known_revision", position.revision, topic=topic)
         topics = len(node_synchronizer.failing_topics)
         self.metrics.set("source_failing_topics", topics)
 
--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -35,6 +35,12 @@
     def known_position(self, topic: str) -> models.Position | None:
         """Return up to where a topic is known, None if it is not."""
 
+    def call_started(self, topic: str, wait: float) -> None:
+        """Record that a call starts, which waits for up to wait seconds."""
+
+    def call_ended(self, topic: str, result: interfaces.ReadResult) -> None:
+        """Record that the call was answered or has failed."""
+
     def watch_timeout(self, topic: str) -> float:
         """Return how many seconds a watch waits for changes."""
 
@@ -92,6 +98,7 @@
             self.position = self.handler.known_position(self.topic)
         complete = self.position is None
         result = self._read()
+        self.handler.call_ended(self.topic, result)
         self.on_read(self.topic, result)
         if result.is_error():
             return self._handle_failure(result.error)
@@ -120,9 +127,11 @@
 
     def _read(self) -> interfaces.ReadResult:
         if self.position is None:
+            self.handler.call_started(self.topic, 0.0)
             return self.source.read(self.topic)
         # After a failure, a watch without a wait detects recovery at once.
         wait = 0.0 if self.failing else self.handler.watch_timeout(self.topic)
+        self.handler.call_started(self.topic, wait)
         return self.source.watch(self.topic, self.position.revision, wait)
 
     def _is_of_another_era(self, batch: interfaces.ChangeBatch) -> bool:
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -195,6 +195,12 @@
     def known_position(self, topic):
         return self.initial_position
 
+    def call_started(self, topic, wait):
+        pass
+
+    def call_ended(self, topic, result):
+        pass
+
     def watch_timeout(self, topic):
         return 25.0
 
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -29,10 +29,11 @@
 def test_unknown_path_is_404_only_with_a_configuration():
     """Guards against a 404 from a node without a configuration."""
     plane = build.make_entry()
-    (response,) = responses(
-        plane.request(build.make_request(path="/other/"), 0.0)
-    )
+    actions = plane.request(build.make_request(path="/other/"), 0.0)
+    (response,) = responses(actions)
     assert response.status == 404
+    (log,) = [a for a in actions if getattr(a, "event", "") == "rejected"]
+    assert log.values["routed_by"] == plane.view.version
     plane.router = None
     (response,) = responses(
         plane.request(build.make_request(path="/other/"), 0.0)
--- a/tests/test_restored_source.py
+++ b/tests/test_restored_source.py
@@ -302,6 +302,12 @@
     def known_position(self, topic):
         return None
 
+    def call_started(self, topic, wait):
+        pass
+
+    def call_ended(self, topic, result):
+        pass
+
     def watch_timeout(self, topic):
         return 0.0
 
