Pass on news of another group that is not a sign of contact

Cause: the simulated source of the tests answered each poll of a waiting watch, so that readers reported contact every 4 ms. With calls that wait for their answers, a version reached the groups of other failure domains only with the next answered watch of the targets, up to 0.7 s later: a contact relayed only notices of contact with the source. A notice that came within 0.1 s of a request was dropped.

Change: tasks of the simulation wait for their answers (greenlet, which eventlet needs anyway). A contact relays what it has learned also if the notice was none of contact, and marks it as such. A notice that comes too soon after a request is asked for at the next check.

--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -114,6 +114,7 @@
         # Until when a notice that waits for the view which it announces may
         # be relayed.
         self.relay_until = 0.0
+        self.relays_fresh = False
         self.relayed_at = 0.0
         self.newer_version: tuple[str, int, float] | None = None
         self.checks = view_checks.ViewChecks(random_source, now)
@@ -121,7 +122,7 @@
             topic: proofs.TopicProof(now)
             for topic in (interfaces.OPERATOR, interfaces.TARGETS)
         }
-        # A peer that knows more, what it announced, and when.
+        # A peer that knows more, what it announced, and when to ask it.
         self.newer_view: tuple[str, messages.ViewNotice, float] | None = None
         self.requested_at = 0.0
 
@@ -282,12 +283,15 @@
 
     def request_if_behind(self, now: float) -> None:
         """Request a peer's view if reads fail or this node lags behind."""
-        if now - self.requested_at < REQUEST_INTERVAL_SECONDS:
+        waited = now - self.requested_at
+        if waited < MIN_REQUEST_INTERVAL_SECONDS:
             return
-        if self.failing_topics or not self.view.ready:
-            host_id = self._any_peer()
-        else:
-            host_id = self._holder_of_version(now) or self._holder_of_view(now)
+        host_id = self._holder_of_view(now)
+        if not host_id and waited >= REQUEST_INTERVAL_SECONDS:
+            if self.failing_topics or not self.view.ready:
+                host_id = self._any_peer()
+            else:
+                host_id = self._holder_of_version(now)
         if host_id:
             self._request_view(host_id, now)
 
@@ -309,11 +313,11 @@
         """Return who knows what this node has not read for too long."""
         if self.newer_view is None:
             return ""
-        holder, notice, seen_at = self.newer_view
+        holder, notice, due = self.newer_view
         if not exchange.knows_more(self.view, notice):
             self.newer_view = None
             return ""
-        if now - seen_at < self._max_lag():
+        if now < due:
             return ""
         # If this one does not answer, the next check finds another.
         self.newer_view = None
@@ -399,18 +403,21 @@
             self.source_contact_at = now
             self.reader_selection.record_contact(host_id, now)
         elif not self.reader_selection.shared and self.view.ready:
-            self._note_newer_view(host_id, notice, now)
+            due = now + self._max_lag()
+            self._note_newer_view(host_id, notice, due)
             return
         # A relayed notice is not relayed again: contacts that hear only of
         # each other must not take that for contact with the source.
-        relays = notice.fresh and not notice.relayed
         if self._knows_more(notice):
-            if relays:
+            if not notice.relayed:
                 self.relay_until = now + MAX_RELAY_DELAY_SECONDS
+                self.relays_fresh = notice.fresh
             if now - self.requested_at >= MIN_REQUEST_INTERVAL_SECONDS:
                 self._request_view(host_id, now)
-        elif relays:
-            self._relay_notice(now)
+            else:
+                self._note_newer_view(host_id, notice, now)
+        elif notice.fresh and not notice.relayed:
+            self._relay_notice(True, now)
 
     def _knows_more(self, notice: messages.ViewNotice) -> bool:
         """Return whether to request the view that a notice announces."""
@@ -419,11 +426,11 @@
         return exchange.knows_more(self.view, notice)
 
     def _note_newer_view(
-        self, host_id: str, notice: messages.ViewNotice, now: float
+        self, host_id: str, notice: messages.ViewNotice, due: float
     ) -> None:
-        """Remember a peer that knows what this node may read in a moment."""
+        """Remember a peer to ask if this node has not read it until due."""
         if self.newer_view is None and exchange.knows_more(self.view, notice):
-            self.newer_view = (host_id, notice, now)
+            self.newer_view = (host_id, notice, due)
 
     def version_seen(self, host_id: str, version: int) -> None:
         """Record the version a peer holds if it is newer than this node's."""
@@ -464,7 +471,7 @@
         now = self.clock.monotonic()
         if now < self.relay_until:
             self.relay_until = self.relayed_at = 0.0
-            self._relay_notice(now)
+            self._relay_notice(self.relays_fresh, now)
         return None
 
     def _request_view(self, host_id: str, now: float) -> None:
@@ -487,8 +494,8 @@
         ):
             self.peers.send(host_id, notice)
 
-    def _relay_notice(self, now: float) -> None:
-        """Pass on a reader's contact with the source within the group."""
+    def _relay_notice(self, fresh: bool, now: float) -> None:
+        """Pass on what a reader has told within the group."""
         connected = self.peers.by_host
         selection = self.reader_selection
         if now - self.relayed_at < MIN_RELAY_INTERVAL_SECONDS:
@@ -497,7 +504,7 @@
             connected, now
         ):
             self.relayed_at = now
-            self._notify_group(exchange.make_notice(self.view, True, True))
+            self._notify_group(exchange.make_notice(self.view, fresh, True))
 
     def _notify_group(self, notice: messages.ViewNotice) -> None:
         """Send a notice to the connected nodes of the group."""
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -208,6 +208,16 @@
     assert domain.lowest_version() == 2
 
 
+def test_new_version_reaches_other_groups_without_a_second_answer():
+    """Guards against a version that waits for the next sign of contact."""
+    for seed in range(5):
+        domain = view_domain.Domain(36, LARGE_DOMAINS, seed=seed)
+        domain.run_for(6.0 + 0.13 * seed)
+        domain.source.put_version(2)
+        domain.run_for(0.35)
+        assert domain.lowest_version() == 2, seed
+
+
 def test_node_whose_target_has_left_is_still_told():
     """Guards against a stale view on a node that is draining."""
     domain = make_domain()
--- a/tests/view_domain.py
+++ b/tests/view_domain.py
@@ -1,21 +1,30 @@
-"""Simulates the synchronizers of one region and their source."""
+"""Simulates the synchronizers of a mesh and their source.
+
+Each watcher and each check of the source is a task of its own, which waits
+for the answer of its call as it does in a node.
+"""
 
 import heapq
 import random
 
 import expression
+import greenlet
 
 from hickorythread import events
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
 from hickorythread.mesh import synchronizer
 from hickorythread.mesh import view as mesh_view
+from hickorythread.platform import store
 from tests import mesh_builders as build
 
 RESPONSE_DELAY_SECONDS = 0.004
 MESSAGE_DELAY_SECONDS = 0.001
+# One way between two regions, for messages and calls to the source.
+REGION_DELAY_SECONDS = 0.012
 CHECK_INTERVAL_SECONDS = 0.2
 OPERATOR_CHANGES = (interfaces.PutConfiguration, interfaces.SetEvacuated)
+UNREACHABLE = expression.Error(interfaces.SourceFailure("unreachable"))
 
 
 class Source:
@@ -29,7 +38,10 @@
         self.evacuated = set()
         self.history = []
         self.unavailable = False
+        # Answers nothing; calls that were sent meanwhile stay unanswered.
+        self.silent = False
         self.calls = 0
+        self.waiting = []
 
     def change(self, change):
         self.revision += 1
@@ -42,6 +54,9 @@
         else:
             self.targets.pop(change.target_id)
         self.history.append((self.revision, change))
+        waiting, self.waiting = self.waiting, []
+        for wake in waiting:
+            wake()
 
     def put_version(self, version):
         configuration = build.make_configuration(version)
@@ -86,54 +101,61 @@
 
 
 class Member:
-    """A node with one synchronizer; its watchers run in simulated time."""
+    """A node with one synchronizer; its tasks run in simulated time."""
 
     def __init__(self, domain, number):
         self.domain = domain
         self.host_id = f"10.0.0.{number}"
+        self.failure_domain = domain.name_of(number)
+        self.region = domain.regions[self.failure_domain]
         self.is_isolated = False
         # Loses all messages from and to other members.
         self.is_silent = False
         # The topics whose watches get no answer any more.
         self.lost_topics = set()
+        # Whether calls that do not wait get no answer either.
+        self.loses_checks = False
         self.by_host = {}
         self.versions = []
+        self.source = SourceCalls(self)
         self.synchronizer = synchronizer.Synchronizer(
             build.make_settings(
                 number,
-                failure_domain=domain.name_of(number),
-                regions=dict.fromkeys(domain.names, "north"),
+                failure_domain=self.failure_domain,
+                regions=domain.regions,
             ),
             mesh_view.View(),
-            None,
+            self.source,
             self,
             domain,
-            random.Random(number),
+            random.Random(number + 1000 * domain.seed),
             lambda before: self.versions.append(self.view.version),
         )
         self.view = self.synchronizer.view
         for watcher in self.synchronizer.watchers:
-            watcher.source = None
-            domain.schedule(0.001 * number, self.step, watcher)
+            domain.schedule(0.001 * number, domain.spawn, self.watch, watcher)
         domain.schedule(CHECK_INTERVAL_SECONDS, self.check)
+        for topic in (interfaces.OPERATOR, interfaces.TARGETS):
+            domain.schedule(
+                0.001 * number, domain.spawn, self.check_source, topic
+            )
 
     def connect(self, others):
         """Open streams to other members without a handshake."""
         self.by_host = dict(others)
         for host_id in others:
             name = self.domain.name_of(int(host_id.split(".")[-1]))
-            peer = events.Peer(host_id, 1, "north", name)
+            peer = events.Peer(host_id, 1, self.domain.regions[name], name)
             self.synchronizer.peer_connected(peer)
 
     def send(self, host_id, message):
-        if self.is_silent or self.domain.members[host_id].is_silent:
+        receiver = self.domain.members[host_id]
+        if self.is_silent or receiver.is_silent:
             return
-        self.domain.schedule(
-            MESSAGE_DELAY_SECONDS,
-            self.domain.members[host_id].receive,
-            self.host_id,
-            message,
-        )
+        delay = MESSAGE_DELAY_SECONDS
+        if receiver.region != self.region:
+            delay += REGION_DELAY_SECONDS
+        self.domain.schedule(delay, receiver.receive, self.host_id, message)
 
     def receive(self, sender, message):
         if isinstance(message, messages.ViewNotice):
@@ -146,89 +168,109 @@
                 self.send(sender, reply)
 
     def check(self):
+        """Do what the link check of a node does."""
         self.synchronizer.expire(self.domain.now)
         self.synchronizer.request_if_behind(self.domain.now)
         self.synchronizer.check_with_peer(self.domain.now)
-        for topic in self.synchronizer.topics_to_check(self.domain.now):
-            self.synchronizer.check_with_source(topic, SourceCheck(self))
         self.domain.schedule(CHECK_INTERVAL_SECONDS, self.check)
 
-    def step(self, watcher, since=None):
-        """Run one step of a watcher; a watch polls until its timeout."""
-        if watcher.topic in self.lost_topics and watcher.position is not None:
-            return
-        source = self.domain.source
-        now = self.domain.now
-        call = SourceCall(self, source, now if since is None else since)
-        watcher.source = call
-        wait = watcher.step()
-        if call.is_waiting:
-            self.domain.schedule(
-                RESPONSE_DELAY_SECONDS, self.step, watcher, call.since
-            )
-        else:
-            self.domain.schedule(
-                max(wait, RESPONSE_DELAY_SECONDS), self.step, watcher
-            )
-
-
-class SourceCall:
-    """A single call of a watcher; is_waiting is set while a watch waits."""
-
-    def __init__(self, member, source, since):
-        self.member = member
-        self.source = source
-        self.since = since
-        self.is_waiting = False
-
-    def read(self, topic):
-        self.source.calls += 1
-        if self.source.unavailable or self.member.is_isolated:
-            return expression.Error(interfaces.SourceFailure("unreachable"))
-        return self.source.read(topic)
+    def check_source(self, topic):
+        """Do what the check of a topic does."""
+        while True:
+            self.domain.sleep(CHECK_INTERVAL_SECONDS)
+            if topic in self.synchronizer.topics_to_check(self.domain.now):
+                self.synchronizer.check_with_source(topic, self.source)
 
-    def watch(self, topic, after, wait):
-        now = self.member.domain.now
-        if self.since == now:
-            self.source.calls += 1
-        if self.source.unavailable or self.member.is_isolated:
-            return expression.Error(interfaces.SourceFailure("unreachable"))
-        result = self.source.watch(topic, after)
-        if result is not None:
-            return result
-        self.is_waiting = now - self.since < wait
-        return expression.Ok(interfaces.ChangeBatch([], after))
+    def watch(self, watcher):
+        """Do what the task of a watcher does."""
+        while True:
+            self.domain.sleep(max(watcher.step(), RESPONSE_DELAY_SECONDS))
 
 
-class SourceCheck:
-    """Answers a watch that does not wait."""
+class SourceCalls:
+    """Makes the calls of one member, which wait for their answers."""
 
     def __init__(self, member):
         self.member = member
-        self.source = member.domain.source
+        self.domain = member.domain
+
+    @property
+    def delay(self):
+        """Return the seconds until an answer of the source arrives."""
+        if self.member.region == self.domain.source_region:
+            return RESPONSE_DELAY_SECONDS
+        return RESPONSE_DELAY_SECONDS + 2 * REGION_DELAY_SECONDS
+
+    def read(self, topic):
+        source = self.domain.source
+        source.calls += 1
+        if source.unavailable or self.member.is_isolated:
+            return UNREACHABLE
+        if source.silent or self.member.loses_checks:
+            return self.time_out(store.READ_TIMEOUT_SECONDS)
+        self.domain.sleep(self.delay)
+        return source.read(topic)
 
     def watch(self, topic, after, wait):
-        assert wait == 0.0
-        self.source.calls += 1
-        if self.source.unavailable or self.member.is_isolated:
-            return expression.Error(interfaces.SourceFailure("unreachable"))
-        result = self.source.watch(topic, after)
+        source = self.domain.source
+        source.calls += 1
+        if source.unavailable or self.member.is_isolated:
+            return UNREACHABLE
+        if not wait:
+            return self._check(topic, after)
+        if source.silent:
+            return self.time_out(wait + store.WATCH_MARGIN_SECONDS)
+        return self._wait(topic, after, wait)
+
+    def _check(self, topic, after):
+        source = self.domain.source
+        if source.silent or self.member.loses_checks:
+            return self.time_out(store.READ_TIMEOUT_SECONDS)
+        self.domain.sleep(self.delay)
+        result = source.watch(topic, after)
         if result is None:
             return expression.Ok(interfaces.ChangeBatch([], after))
         return result
 
+    def _wait(self, topic, after, wait):
+        source = self.domain.source
+        deadline = self.domain.now + wait
+        while topic not in self.member.lost_topics:
+            if source.unavailable or self.member.is_isolated:
+                return UNREACHABLE
+            result = source.watch(topic, after)
+            if result is not None:
+                self.domain.sleep(self.delay)
+                return result
+            remaining = deadline - self.domain.now
+            if remaining <= 0:
+                return expression.Ok(interfaces.ChangeBatch([], after))
+            self.domain.wait_for_change(remaining)
+        limit = deadline + store.WATCH_MARGIN_SECONDS - self.domain.now
+        return self.time_out(max(0.0, limit))
+
+    def time_out(self, seconds):
+        """Wait for an answer that does not come."""
+        self.domain.sleep(seconds)
+        return UNREACHABLE
+
 
 class Domain:
-    """The members of a region, their clock and their messages.
+    """The members of a mesh, their clock, their tasks and their messages.
 
-    They are spread over one failure domain or several.
+    They are spread over one failure domain or several, in one region unless
+    regions tells more. The source stands in the first region.
     """
 
-    def __init__(self, size, names=("launceston",)):
+    def __init__(self, size, names=("launceston",), regions=None, seed=0):
         self.names = names
+        self.regions = regions or dict.fromkeys(names, "north")
+        self.source_region = self.regions[names[0]]
+        self.seed = seed
         self.now = 0.0
         self.timers = []
         self.last_timer = 0
+        self.loop = greenlet.getcurrent()
         self.source = Source(self)
         for number in range(1, size + 1):
             target = build.make_target(
@@ -256,6 +298,29 @@
         entry = (self.now + delay, self.last_timer, function, arguments)
         heapq.heappush(self.timers, entry)
 
+    def spawn(self, function, *arguments):
+        """Start a task."""
+        greenlet.greenlet(function, self.loop).switch(*arguments)
+
+    def sleep(self, seconds):
+        """Let a task wait."""
+        self.schedule(seconds, greenlet.getcurrent().switch)
+        self.loop.switch()
+
+    def wait_for_change(self, seconds):
+        """Let a task wait for a change of the source, or for some time."""
+        task = greenlet.getcurrent()
+        resumed = []
+
+        def resume():
+            if not resumed:
+                resumed.append(True)
+                task.switch()
+
+        self.source.waiting.append(lambda: self.schedule(0.0, resume))
+        self.schedule(seconds, resume)
+        self.loop.switch()
+
     def run_for(self, seconds):
         until = self.now + seconds
         while self.timers and self.timers[0][0] <= until:
