Take the position of a reply only with the configuration that it brings

What callers saw: 404 for a route of a confirmed version, until the next version came. Cause: a reply whose difference starts from a version that had been replaced meanwhile was applied without the configuration, but with the position of the operator's entries. The host's own read of that version then counted as older and was dropped. Class of fault: a position that tells more than was applied.

Change: without its base the whole operator part of a reply is left out, and the host asks again at once, which brings a complete answer or a difference that fits.

--- a/src/hickorythread/mesh/exchange.py
+++ b/src/hickorythread/mesh/exchange.py
@@ -108,22 +108,30 @@
     )
 
 
+def lacks_base(view: mesh_view.View, reply: messages.ViewReply) -> bool:
+    """Return whether the base of the configuration has been replaced.
+
+    The configuration can't be applied then, and neither can the position,
+    which would tell that it was.
+    """
+    return bool(reply.configuration) and reply.base not in (0, view.version)
+
+
 def apply_reply(
     view: mesh_view.View, reply: messages.ViewReply, now: float
 ) -> expression.Result[bool, exceptions.DecodeError]:
     """Apply the newer parts of a peer's view; return whether any were."""
     changed = False
+    has_operator = not lacks_base(view, reply)
     try:
-        # A delta whose base version has been replaced in the meantime cannot
-        # be applied. The next notice triggers a new request.
-        if reply.configuration and reply.base in (0, view.version):
+        if reply.configuration and has_operator:
             base = view.versions.packed.get(reply.base, b"")
             unpacked = codec.decompress(reply.configuration, base)
             if unpacked.is_error():
                 return expression.Error(unpacked.error)
             configuration = models.Configuration.unpack(unpacked.ok)
             changed = view.put_configuration(configuration)
-        if view.operator_position < reply.operator_position:
+        if has_operator and view.operator_position < reply.operator_position:
             changed |= view.put_evacuated(
                 reply.evacuated, reply.operator_position, now
             )
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -453,11 +453,13 @@
         """Apply the newer parts of a peer's view; return a decoding error."""
         previously_evacuated = self.view.evacuated
         version = self.view.version
-        result = exchange.apply_reply(
-            self.view, message, self.clock.monotonic()
-        )
+        now = self.clock.monotonic()
+        lacks_base = exchange.lacks_base(self.view, message)
+        result = exchange.apply_reply(self.view, message, now)
         if result.is_error():
             return result.error
+        if lacks_base:
+            self._request_view(host_id, now)
         if not result.ok:
             return None
         logs.info("view_from_peer", peer=host_id, revision=self.view.revision)
@@ -468,7 +470,6 @@
                 origin=host_id,
             )
         self._view_updated(previously_evacuated)
-        now = self.clock.monotonic()
         if now < self.relay_until:
             self.relay_until = self.relayed_at = 0.0
             self._relay_notice(self.relays_fresh, now)
--- /dev/null
+++ b/tests/test_view_replies.py
@@ -0,0 +1,60 @@
+"""Tests of replies of a peer that bring only a part of its view."""
+
+from hickorythread.mesh import exchange
+from hickorythread.mesh import interfaces
+from hickorythread.mesh import messages
+from hickorythread.mesh import view as mesh_view
+from tests import mesh_builders as build
+from tests import view_domain
+
+
+def make_operator_batch(version, revision):
+    change = interfaces.PutConfiguration(build.make_configuration(version))
+    return interfaces.ChangeBatch([change], revision)
+
+
+def make_peer_view(versions, revision):
+    """Return the view of a peer that has read all versions."""
+    view = mesh_view.View()
+    for version in versions:
+        batch = make_operator_batch(version, revision)
+        view.apply_operator(batch, True, 0.0)
+    return view
+
+
+def make_member():
+    domain = view_domain.Domain(2)
+    domain.run_for(4.0)
+    return domain, domain.readers()[0]
+
+
+def test_version_is_not_dropped_after_a_reply_whose_base_was_replaced():
+    """Guards against a position that tells more than was applied."""
+    domain, member = make_member()
+    peer = make_peer_view((1, 2, 3), revision=50)
+    request = exchange.make_request(member.view)
+    reply = exchange.make_reply(peer, request, domain.now)
+    node = member.synchronizer
+    node.apply_batch(interfaces.OPERATOR, make_operator_batch(2, 45), False)
+    node.reply_received(domain.readers()[1].host_id, reply)
+    node.apply_batch(interfaces.OPERATOR, make_operator_batch(3, 48), False)
+    assert member.view.version == 3
+
+
+def test_reply_whose_base_was_replaced_is_asked_for_again():
+    """Guards against a host that waits for the next notice."""
+    domain, member = make_member()
+    peer = make_peer_view((1, 2, 3), revision=50)
+    request = exchange.make_request(member.view)
+    reply = exchange.make_reply(peer, request, domain.now)
+    node = member.synchronizer
+    node.apply_batch(interfaces.OPERATOR, make_operator_batch(2, 45), False)
+    sent = []
+    member.send = lambda host_id, message: sent.append(message)
+    node.reply_received(domain.readers()[1].host_id, reply)
+    (again,) = sent
+    assert isinstance(again, messages.ViewRequest) and again.version == 2
+    reply = exchange.make_reply(peer, again, domain.now)
+    node.reply_received(domain.readers()[1].host_id, reply)
+    assert member.view.version == 3
+    assert member.view.operator_position.revision == 50
