Route by the version that the view holds, and by no other

What callers saw: 404 for a route of a version that the host's log lines and messages name. Cause: the router was built from the view by a later call. A reply that brought a version and malformed targets, or any failure in between, left the old router behind the new version. Class of fault: two copies of one fact, of which only one is shown.

Change: a version is held together with its router, which the entry plane asks for; a version whose router can't be built is not put in force. A reply is decoded whole before any of it is applied. A configuration whose host is no text is refused where it is decoded.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -70,7 +70,8 @@
         # it does not start with a full reserve.
         self.budget = retries.RetryBudget(initial=INITIAL_RETRIES)
         self.origins = origins.CallOrigins()
-        self.router: routing.Router | None = None
+        # The configuration for whose routes state is kept.
+        self.configuration: models.Configuration | None = None
         # Set once the node is stopping.
         self.stop: stopping.StopPolicy | None = None
         self.calls = open_calls.OpenCalls()
@@ -81,7 +82,8 @@
     @property
     def routing_version(self) -> int:
         """Return the version that routes requests, 0 if there is none."""
-        return self.router.configuration.version if self.router else 0
+        router = self.view.router
+        return router.configuration.version if router else 0
 
     def request(
         self,
@@ -95,11 +97,12 @@
         running counts the runs at the local target, running_retries those of
         them that are retries: the request may be a call of one of them.
         """
-        if self.router is None:
+        router = self.view.router
+        if router is None:
             return self._refuse(
                 request, 503, "starting", STARTING_RETRY_AFTER_SECONDS
             )
-        route = self.router.find(request.host, request.path)
+        route = router.find(request.host, request.path)
         if route is None:
             return self._refuse(request, 404, "no-route")
         remaining = route.timeout
@@ -122,9 +125,10 @@
 
     def may_repeat(self, request: events.Request) -> bool:
         """Return whether a request may run more than once."""
-        if self.router is None:
+        router = self.view.router
+        if router is None:
             return True
-        route = self.router.find(request.host, request.path)
+        route = router.find(request.host, request.path)
         return route is None or route.idempotent
 
     def reply(
@@ -275,15 +279,13 @@
         self.placement.targets_changed()
         self.update_retry_budget()
         configuration = self.view.configuration
-        if configuration is None:
+        if configuration is None or configuration is self.configuration:
             return
-        router = self.router
-        if router is None or router.configuration is not configuration:
-            self.router = routing.Router(configuration)
-            names = {route.name for route in configuration.routes}
-            self.splitter.keep_only(names)
-            self.origins.keep_only(names)
-            self.budget.keep_only(set(configuration.services))
+        self.configuration = configuration
+        names = {route.name for route in configuration.routes}
+        self.splitter.keep_only(names)
+        self.origins.keep_only(names)
+        self.budget.keep_only(set(configuration.services))
 
     def _dispatch(
         self, pending: pending_request.PendingRequest, now: float
--- a/src/hickorythread/mesh/exchange.py
+++ b/src/hickorythread/mesh/exchange.py
@@ -120,38 +120,72 @@
 def apply_reply(
     view: mesh_view.View, reply: messages.ViewReply, now: float
 ) -> expression.Result[bool, exceptions.DecodeError]:
-    """Apply the newer parts of a peer's view; return whether any were."""
-    changed = False
+    """Apply the newer parts of a peer's view; return whether any were.
+
+    Nothing is applied if a part can't be decoded.
+    """
+    decoded = _decode_reply(view, reply, now)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    parts = decoded.ok
     has_operator = not lacks_base(view, reply)
+    changed = False
+    if parts.configuration is not None:
+        try:
+            changed = view.put_configuration(parts.configuration)
+        except (AttributeError, TypeError) as error:
+            # Its routes can't be matched with requests.
+            return expression.Error(
+                exceptions.DecodeError("view", str(error)[:200])
+            )
+    if has_operator and view.operator_position < reply.operator_position:
+        changed |= view.put_evacuated(
+            reply.evacuated, reply.operator_position, now
+        )
+    if parts.targets is not None:
+        view.adopt_targets(parts.targets, reply.position, parts.held, now)
+        changed = True
+    return expression.Ok(changed)
+
+
+class _Parts:
+    """Hold the decoded parts of a reply; None stands for one without news.
+
+    held maps targets to the times at which their removal is due.
+    """
+
+    __slots__ = ("configuration", "targets", "held")
+
+    def __init__(self) -> None:
+        self.configuration: models.Configuration | None = None
+        self.targets: dict[str, models.Target] | None = None
+        self.held: dict[str, float] = {}
+
+
+def _decode_reply(
+    view: mesh_view.View, reply: messages.ViewReply, now: float
+) -> expression.Result[_Parts, exceptions.DecodeError]:
+    """Decode what a reply has that a view lacks."""
+    parts = _Parts()
     try:
-        if reply.configuration and has_operator:
+        if reply.configuration and not lacks_base(view, reply):
             base = view.versions.packed.get(reply.base, b"")
             unpacked = codec.decompress(reply.configuration, base)
             if unpacked.is_error():
                 return expression.Error(unpacked.error)
-            configuration = models.Configuration.unpack(unpacked.ok)
-            changed = view.put_configuration(configuration)
-        if has_operator and view.operator_position < reply.operator_position:
-            changed |= view.put_evacuated(
-                reply.evacuated, reply.operator_position, now
-            )
+            parts.configuration = models.Configuration.unpack(unpacked.ok)
         if reply.targets and view.position < reply.position:
             unpacked = codec.decompress(reply.targets)
             if unpacked.is_error():
                 return expression.Error(unpacked.error)
             targets = [models.Target(*fields) for fields in unpacked.ok]
-            view.adopt_targets(
-                {target.id: target for target in targets},
-                reply.position,
-                _decode_pending_removals(reply.held, now),
-                now,
-            )
-            changed = True
+            parts.targets = {target.id: target for target in targets}
+            parts.held = _decode_pending_removals(reply.held, now)
     except (TypeError, ValueError) as error:
         return expression.Error(
             exceptions.DecodeError("view", str(error)[:200])
         )
-    return expression.Ok(changed)
+    return expression.Ok(parts)
 
 
 def _decode_pending_removals(
--- a/src/hickorythread/mesh/versions.py
+++ b/src/hickorythread/mesh/versions.py
@@ -2,6 +2,7 @@
 
 from hickorythread import codec
 from hickorythread.mesh import models
+from hickorythread.mesh import routing
 
 # Recent versions are kept as bases for the deltas sent to peers that still
 # hold them.
@@ -11,30 +12,42 @@
 class Versions:
     """Hold the newest configuration; versions only rise.
 
-    packed maps recent versions to their serialized form. differences holds
-    compressed forms of the newest one by the version that they start from,
-    0 for the whole of it.
+    router matches requests to the routes of the newest one, so that no other
+    version routes. packed maps recent versions to their serialized form.
+    differences holds compressed forms of the newest one by the version that
+    they start from, 0 for the whole of it.
     """
 
-    __slots__ = ("newest", "packed", "differences")
+    __slots__ = ("router", "packed", "differences")
 
     def __init__(self) -> None:
-        self.newest: models.Configuration | None = None
+        self.router: routing.Router | None = None
         self.packed: dict[int, bytes] = {}
         self.differences: dict[int, bytes] = {}
 
+    @property
+    def newest(self) -> models.Configuration | None:
+        """Return the active configuration, None if there is none."""
+        return self.router.configuration if self.router else None
+
     @property
     def number(self) -> int:
         """Return the active version, 0 if there is none."""
-        return self.newest.version if self.newest else 0
+        newest = self.newest
+        return newest.version if newest else 0
 
     def put(self, configuration: models.Configuration) -> bool:
-        """Activate a version if it is newer; return whether it was."""
+        """Activate a version if it is newer; return whether it was.
+
+        Nothing changes if its router can't be built or it can't be packed.
+        """
         if configuration.version <= self.number:
             return False
-        self.newest = configuration
+        router = routing.Router(configuration)
+        packed = codec.pack(configuration.pack())
+        self.router = router
         self.differences.clear()
-        self.packed[configuration.version] = codec.pack(configuration.pack())
+        self.packed[configuration.version] = packed
         if len(self.packed) > MAX_PACKED_VERSIONS:
             del self.packed[next(iter(self.packed))]
         return True
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -13,6 +13,7 @@
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import models
 from hickorythread.mesh import revived
+from hickorythread.mesh import routing
 from hickorythread.mesh import versions
 
 # Targets whose entries expired while the source was unreachable register again
@@ -90,6 +91,11 @@
         """Return the active configuration, None if there is none."""
         return self.versions.newest
 
+    @property
+    def router(self) -> routing.Router | None:
+        """Return what matches requests to the routes of the version."""
+        return self.versions.router
+
     @property
     def version(self) -> int:
         """Return the active configuration version, 0 if there is none."""
--- a/src/hickorythread/platform/documents.py
+++ b/src/hickorythread/platform/documents.py
@@ -39,7 +39,7 @@
     """Decode op/config; raise DocumentError if a field is invalid."""
     try:
         routes = [
-            _decode_route(host["host"], entry)
+            _decode_route(_require_text(host, "host"), entry)
             for host in document["hosts"]
             for entry in host["paths"]
         ]
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -34,7 +34,7 @@
     assert response.status == 404
     (log,) = [a for a in actions if getattr(a, "event", "") == "rejected"]
     assert log.values["routed_by"] == plane.view.version
-    plane.router = None
+    plane = build.make_entry(mesh_view.View())
     (response,) = responses(
         plane.request(build.make_request(path="/other/"), 0.0)
     )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -260,3 +260,12 @@
     services |= {"late": services["spec-desk"]}
     view.put_configuration(build.make_configuration(2, services=services))
     assert view.by_service["late"] == [late]
+
+
+@pytest.mark.parametrize("host", [None, 5, "", ["a.example"]])
+def test_configuration_with_a_host_that_is_no_text_is_refused(host):
+    """Guards against a version that is known and can't route."""
+    document = build.make_configuration_document()
+    document["hosts"][0]["host"] = host
+    with pytest.raises(documents.DocumentError):
+        documents.decode_configuration(document)
--- a/tests/test_view_replies.py
+++ b/tests/test_view_replies.py
@@ -1,5 +1,8 @@
 """Tests of replies of a peer that bring only a part of its view."""
 
+import pytest
+
+from hickorythread import codec
 from hickorythread.mesh import exchange
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
@@ -58,3 +61,43 @@
     node.reply_received(domain.readers()[1].host_id, reply)
     assert member.view.version == 3
     assert member.view.operator_position.revision == 50
+
+
+def make_reply_with_malformed_targets(view):
+    peer = make_peer_view((1, 2), revision=50)
+    request = exchange.make_request(view)
+    reply = exchange.make_reply(peer, request, 0.0)
+    reply.targets = codec.compress([["t1"]])
+    reply.revision = 1000
+    return reply
+
+
+def test_reply_that_is_malformed_in_part_changes_nothing():
+    """Guards against a version that is known and not told to anybody."""
+    domain, member = make_member()
+    reply = make_reply_with_malformed_targets(member.view)
+    error = member.synchronizer.reply_received(
+        domain.readers()[1].host_id, reply
+    )
+    assert error is not None
+    assert member.view.version == 1
+    assert member.view.operator_position.revision < 50
+
+
+def test_version_that_is_known_is_the_one_that_routes():
+    """Guards against an older router behind a newer version."""
+    plane = build.make_entry()
+    route = build.make_route("later")
+    plane.view.put_configuration(build.make_configuration(2, [route]))
+    request = build.make_request(path="/later/1")
+    assert build.sent_messages(plane.request(request, 0.0), messages.Forward)
+    assert plane.routing_version == plane.view.version == 2
+
+
+def test_version_whose_router_cannot_be_built_is_not_in_force():
+    """Guards against a version that is held and cannot route."""
+    view = build.make_view()
+    broken = build.make_configuration(2, [build.make_route(host=None)])
+    with pytest.raises(AttributeError):
+        view.put_configuration(broken)
+    assert view.version == view.router.configuration.version == 1
