Trust a watch only while something shows that it lives

What callers saw: for up to half a minute 404 for the routes of confirmed versions, on all hosts of a region. Cause: an open watch counted as news that nothing had changed. Watches that were sent into a silent outage hung at every host; the checks beside them came by lot, up to several seconds apart, stopped for both topics while one failed, ignored their own failure, and left the dead watch open. In groups with readers nothing checked what the operator writes. Class of fault: silence that counts as good news.

Change (mesh/proofs.py): each topic has a time up to which it is proven current, by an answer of the source or by a peer that holds the same. If the last proof is 0.9 s old, the first host of a group in rank asks the source and tells the group; the next one in rank waits 0.15 s longer. A watch that misses a change, was open while a check got no answer, or is overdue while others are answered, is ended and started again. Readers report contact only if both topics are proven. Removals are held after an outage only if no proof came meanwhile and a call failed. Contacts that read themselves pass on what they learn. A host whose target was the last one of its domain stays in its group.

--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -366,7 +366,7 @@
 class Session:
     """Send GET requests to one address over persistent connections."""
 
-    __slots__ = ("host", "port", "options", "idle")
+    __slots__ = ("host", "port", "options", "idle", "in_use")
 
     def __init__(
         self, host: str, port: int, options: list[tuple[int, int, int | bytes]]
@@ -375,6 +375,7 @@
         self.port = port
         self.options = options
         self.idle: list[Connection] = []
+        self.in_use: set[Connection] = set()
 
     def get(self, url: str, limits: "Limits") -> "Document":
         """Return the status, the headers and the body of a response.
@@ -384,6 +385,7 @@
         """
         connection = self._acquire(limits.connect_seconds)
         reusable = False
+        self.in_use.add(connection)
         try:
             reader = connection.reader
             reader.limit(limits.total_seconds)
@@ -401,12 +403,18 @@
             body = read_body(response, limits.max_bytes)
             reusable = not response.will_close and reader.is_empty()
         finally:
+            self.in_use.discard(connection)
             if reusable:
                 self.idle.append(connection)
             else:
                 connection.close()
         return Document(response.status, _join_fields(response.fields), body)
 
+    def interrupt(self) -> None:
+        """End the exchanges that wait for a response; they raise."""
+        for connection in self.in_use:
+            shut_down(connection.sock)
+
     def close(self) -> None:
         """Close the idle connections."""
         while self.idle:
--- a/src/hickorythread/mesh/exchange.py
+++ b/src/hickorythread/mesh/exchange.py
@@ -1,5 +1,7 @@
 """Messages that transfer the view of one node to another."""
 
+from collections.abc import Sequence
+import math
 from typing import Any
 
 import expression
@@ -27,6 +29,7 @@
     fresh: bool,
     relayed: bool = False,
     asks: bool = False,
+    proof_ages: Sequence[float] = (),
 ) -> messages.ViewNotice:
     """Build a notice that announces the versions of a view."""
     return messages.ViewNotice(
@@ -39,6 +42,7 @@
         view.operator_position.era,
         asks,
         view.digest,
+        list(proof_ages),
     )
 
 
@@ -67,16 +71,27 @@
     )
 
 
-def confirms(view: mesh_view.View, notice: messages.ViewNotice) -> bool:
-    """Return whether the sender of a notice knows all that a view holds."""
-    if notice.version < view.version:
-        return False
-    return notice.digest == view.digest or not (
-        notice.position < view.position
-        or notice.operator_position < view.operator_position
+def is_same(view: mesh_view.View, notice: messages.ViewNotice) -> bool:
+    """Return whether the sender of a notice holds what a view holds.
+
+    They may know it up to different revisions of the same source.
+    """
+    return (
+        notice.version == view.version
+        and notice.digest == view.digest
+        and notice.era == view.position.era
+        and notice.operator_era == view.operator_position.era
     )
 
 
+def read_proof_ages(notice: messages.ViewNotice) -> list[float]:
+    """Return how old the proofs of the sender are, empty if malformed."""
+    ages = notice.proof_ages
+    if all(type(age) is float and 0.0 <= age < math.inf for age in ages):
+        return ages
+    return []
+
+
 def make_reply(
     view: mesh_view.View, request: messages.ViewRequest, now: float
 ) -> messages.ViewReply | None:
--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -14,8 +14,14 @@
 TARGETS = "targets"
 
 HISTORY_UNAVAILABLE = "history"
+# The call ended without an answer.
+NO_ANSWER = "unreachable"
+# end_watch() has ended the call.
+WATCH_ENDED = "ended"
 # This process could not open a socket.
 NO_DESCRIPTOR = "no-descriptor"
+# Failures that say nothing against the source.
+ANSWERED_KINDS = frozenset((HISTORY_UNAVAILABLE, WATCH_ENDED))
 
 
 class PutConfiguration(events.Record):
@@ -117,6 +123,9 @@
     def watch(self, topic: str, after: int, wait: float) -> ReadResult:
         """Return the changes after a revision; waits up to wait seconds."""
 
+    def end_watch(self, topic: str) -> None:
+        """End the watch that waits, which fails with WATCH_ENDED."""
+
     def use_address(self, address: str) -> None:
         """Change the address of the source for subsequent reads."""
 
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -1,5 +1,6 @@
 """Messages between sidecars; __slots__ lists the fields in wire order."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from hickorythread import messages
@@ -248,7 +249,9 @@
     fresh is True if the source has just responded to the sender, or to a node
     that has told it so; relayed is True in the second case. The receiver
     answers with a notice of its own if asks is True. digest is that of the
-    targets and evacuations, 0 if it is not stated.
+    targets and evacuations, 0 if it is not stated. proof_ages tells how many
+    seconds ago what the operator wrote, and the targets, were last proven
+    current; it is empty if that is not stated.
     """
 
     __slots__ = (
@@ -261,12 +264,13 @@
         "operator_era",
         "asks",
         "digest",
+        "proof_ages",
     )
     code = 45
-    types = (int, int, int, bool, bool, int, int, bool, int)
-    # Nodes of earlier releases relay no notices, do not know the eras and do
-    # not ask.
-    defaults = (False, models.UNKNOWN_ERA, models.UNKNOWN_ERA, False, 0)
+    types = (int, int, int, bool, bool, int, int, bool, int, list)
+    # Nodes of earlier releases relay no notices, do not know the eras, do not
+    # ask and have no proofs.
+    defaults = (False, models.UNKNOWN_ERA, models.UNKNOWN_ERA, False, 0, ())
 
     def __init__(
         self,
@@ -279,6 +283,7 @@
         operator_era: int = models.UNKNOWN_ERA,
         asks: bool = False,
         digest: int = 0,
+        proof_ages: Sequence[float] = (),
     ) -> None:
         self.version = version
         self.revision = revision
@@ -289,6 +294,7 @@
         self.operator_era = operator_era
         self.asks = asks
         self.digest = digest
+        self.proof_ages = list(proof_ages)
 
 
 class Crashed(messages.Message):
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -51,6 +51,7 @@
 TICK_SECONDS = 0.02
 CLIENT_CHECK_SECONDS = 0.15
 LINK_CHECK_SECONDS = 0.2
+SOURCE_CHECK_SECONDS = 0.1
 RECONNECT_MAX_SECONDS = 1.5
 SETTINGS_CHECK_SECONDS = 1.0
 FLUSH_SECONDS = 0.1
@@ -207,12 +208,13 @@
         for listener, (_, app, use) in zip(self.listeners, apps, strict=True):
             self.spawn_plane(use, self._serve, listener, app, use)
         for source_watcher in self.synchronizer.watchers:
-            self.spawn_plane(source_watcher.topic, source_watcher.run)
+            topic = source_watcher.topic
+            self.spawn_plane(topic, source_watcher.run)
+            self.spawn_plane(f"{topic}-check", self._check_source, topic)
         for name, task in (
             ("tick", self._tick),
             ("clients", self._check_clients),
             ("links", self._check_links),
-            ("source-check", self._check_source),
             ("settings", self._poll_settings_file),
             ("flush", self._flush),
         ):
@@ -329,17 +331,20 @@
             self.synchronizer.request_if_behind(now)
             self.synchronizer.check_with_peer(now)
 
-    def _check_source(self) -> None:
-        """Ask the source for changes that the watches have missed."""
+    def _check_source(self, topic: str) -> None:
+        """Ask the source for changes that the watch has missed."""
         while True:
-            eventlet.sleep(LINK_CHECK_SECONDS)
+            eventlet.sleep(SOURCE_CHECK_SECONDS)
             now = self.clock.monotonic()
-            for topic in self.synchronizer.topics_to_check(now):
+            if topic in self.synchronizer.topics_to_check(now):
                 result = self.synchronizer.check_with_source(
                     topic, self.source
                 )
                 if result is not None:
                     self._record_source_call(topic, result)
+            if self.synchronizer.watch_is_dead(topic):
+                logs.warning("watch_ended", topic=topic)
+                self.source.end_watch(topic)
 
     def _flush(self) -> None:
         """Write decision log lines and metrics outside the request path."""
--- a/src/hickorythread/mesh/readership.py
+++ b/src/hickorythread/mesh/readership.py
@@ -25,8 +25,10 @@
 # more every EXTRA_CONTACT_SECONDS.
 READER_STALE_SHARE = 0.6
 CONTACT_STALE_SHARE = 0.75
-# A watch of a reader returns after this part at the latest, as a sign of life.
+# A watch of the first reader returns after this part at the latest, as a sign
+# of life, and one of the second reader a little later.
 WATCH_SHARE = 0.35
+STANDBY_WATCH_SHARE = 0.5
 # Versions of the configuration must be in force as fast.
 MAX_REMOVAL_SECONDS = 3.0
 EXTRA_CONTACT_SECONDS = 0.3
@@ -57,6 +59,7 @@
         self.reader_stale_seconds = READER_STALE_SHARE * removal_seconds
         self.contact_stale_seconds = CONTACT_STALE_SHARE * removal_seconds
         self.watch_seconds = WATCH_SHARE * removal_seconds
+        self.standby_seconds = STANDBY_WATCH_SHARE * removal_seconds
         self.host_id = host_id
         self.failure_domain = failure_domain
         self.started_at = now
@@ -138,11 +141,25 @@
             return False
         if now - self.reader_heard_at > self.reader_stale_seconds:
             return True
+        return self.rank(connected, now) < READER_COUNT
+
+    def rank(self, connected: Collection[str], now: float) -> int:
+        """Return how many connected hosts read before this one.
+
+        The count ends where it makes no more difference.
+        """
         rank = self._count_higher(self.higher, connected, now)
-        for higher in self.higher_in_others:
-            count = self._count_higher(higher, connected, now)
-            rank += min(CONTACT_COUNT, count)
-        return rank < READER_COUNT
+        if self.shared:
+            for higher in self.higher_in_others:
+                count = self._count_higher(higher, connected, now)
+                rank += min(CONTACT_COUNT, count)
+        return rank
+
+    def contacts(self, connected: Collection[str]) -> list[str]:
+        """Return the first hosts of each group, without this one."""
+        reachable = (host for host in self.ranked if host in connected)
+        own = itertools.islice(reachable, CONTACT_COUNT)
+        return [*own, *self.other_contacts(connected)]
 
     def other_contacts(self, connected: Collection[str]) -> list[str]:
         """Return the contacts of the other groups of the region."""
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -31,9 +31,10 @@
 # How long the readers of the local failure domain have to fetch a version
 # before this node requests it from the peer that announced it.
 MAX_LAG_SECONDS = 0.5
+# How long the watch of this node has to return what a peer knows already.
+VIEW_LAG_SECONDS = 0.25
 SHARED_MAX_LAG_SECONDS = 1.2
 WATCH_TIMEOUT_SECONDS = 25.0
-SHARED_OPERATOR_WATCH_SECONDS = 4.0
 # Short watches after the start, while the hosts of the failure domain are not
 # known yet.
 STARTUP_WATCH_TIMEOUT_SECONDS = 4.0
@@ -44,6 +45,9 @@
 # wait for them, because the readers are chosen among the registered hosts.
 NEW_MESH_SECONDS = 3.0
 
+# The order of the topics in a notice.
+PROOF_TOPICS = (interfaces.OPERATOR, interfaces.TARGETS)
+
 ViewChanged = Callable[[frozenset[str]], None]
 LogCallback = Callable[[mesh_events.Log], None]
 
@@ -118,10 +122,7 @@
         self.relayed_at = 0.0
         self.newer_version: tuple[str, int, float] | None = None
         self.checks = view_checks.ViewChecks(random_source, now)
-        self.proofs = {
-            topic: proofs.TopicProof(now)
-            for topic in (interfaces.OPERATOR, interfaces.TARGETS)
-        }
+        self.proofs = {topic: proofs.TopicProof(now) for topic in PROOF_TOPICS}
         # A peer that knows more, what it announced, and when to ask it.
         self.newer_view: tuple[str, messages.ViewNotice, float] | None = None
         self.requested_at = 0.0
@@ -147,10 +148,14 @@
 
     def watch_timeout(self, topic: str) -> float:
         """Return how many seconds a watch waits for changes."""
-        if self.reader_selection.shared:
-            if topic == interfaces.TARGETS:
-                return self.reader_selection.watch_seconds
-            return SHARED_OPERATOR_WATCH_SECONDS
+        selection = self.reader_selection
+        if selection.shared and topic == interfaces.TARGETS:
+            rank = self._rank(self.clock.monotonic())
+            return (
+                selection.standby_seconds
+                if rank
+                else (selection.watch_seconds)
+            )
         if self.clock.monotonic() - self.started_at < STARTUP_SECONDS:
             return STARTUP_WATCH_TIMEOUT_SECONDS
         return WATCH_TIMEOUT_SECONDS
@@ -162,10 +167,22 @@
     def call_ended(self, topic: str, result: interfaces.ReadResult) -> None:
         """Record that the call of a watcher was answered or has failed."""
         now = self.clock.monotonic()
+        proof = self.proofs[topic]
         if result.is_ok():
-            self.proofs[topic].call_answered(bool(result.ok.changes), now)
+            ends_outage = proof.call_answered(bool(result.ok.changes), now)
+            self._proof_recorded(topic, ends_outage, now)
+        elif result.error.kind in interfaces.ANSWERED_KINDS:
+            proof.called_at = None
         else:
-            self.proofs[topic].call_failed()
+            proof.call_failed()
+
+    def _proof_recorded(
+        self, topic: str, ends_outage: bool, now: float
+    ) -> None:
+        """Let targets register again after an outage of the source."""
+        if ends_outage and topic == interfaces.TARGETS:
+            self.view.start_grace_period(now)
+            logs.info("outage_ended", topic=topic)
 
     def batch_delay(self) -> float:
         """Return how many seconds to batch changes before the next call."""
@@ -187,7 +204,7 @@
             else:
                 self._apply_targets(batch, complete, now)
             self._view_updated(previously_evacuated)
-        self._send_notices(topic == interfaces.TARGETS)
+        self._send_notices(now)
 
     def _is_older(self, topic: str, batch: interfaces.ChangeBatch) -> bool:
         """Return whether a peer has told all that changes say, and more."""
@@ -202,7 +219,6 @@
             logs.warning("source_lost", topic=topic, failure=failure)
             return
         self.failing_topics.discard(topic)
-        self.view.start_grace_period(self.clock.monotonic())
         logs.info("source_regained", topic=topic)
 
     def reading_stopped(self, topic: str) -> None:
@@ -247,12 +263,13 @@
         self._report_decisions()
         regions = self.settings.regions
         region = regions.get(self.settings.failure_domain)
-        hosts: dict[str, set[str]] = {}
+        # A host whose target was the last one of its domain is told as well.
+        hosts: dict[str, set[str]] = {
+            domain: set() for domain in regions if regions[domain] == region
+        }
         for target in self.view.targets.values():
             if regions.get(target.failure_domain) == region:
-                hosts.setdefault(target.failure_domain, set()).add(
-                    target.host_id
-                )
+                hosts[target.failure_domain].add(target.host_id)
         self.reader_selection.set_hosts(hosts)
         self.view_changed(previously_evacuated)
 
@@ -331,23 +348,26 @@
             self.peers.by_host, self.reader_selection.shared, now
         )
         if host_id:
-            notice = exchange.make_notice(self.view, False, asks=True)
-            self.peers.send(host_id, notice)
+            self.peers.send(host_id, self._make_notice(now, asks=True))
 
     def topics_to_check(self, now: float) -> list[str]:
         """Return the topics whose changes to ask the source for."""
-        if not self.view.ready or self.failing_topics:
-            return []
-        selection = self.reader_selection
-        nodes = 0 if selection.shared else len(selection.ranked)
-        if not self.checks.source_due(nodes, now):
+        if not self.view.ready:
             return []
+        rank = self._rank(now)
         return [
-            source_watcher.topic
-            for source_watcher in self.watchers
-            if self.reads_topic(source_watcher.topic)
+            topic
+            for topic, proof in self.proofs.items()
+            # A watch that fails is tried again at short intervals.
+            if topic not in self.failing_topics
+            and proof.check_due(rank, now)
+            and self.reads_topic(topic)
         ]
 
+    def _rank(self, now: float) -> int:
+        """Return how many nodes come before this one as readers."""
+        return self.reader_selection.rank(self.peers.by_host, now)
+
     def check_with_source(
         self, topic: str, source: interfaces.Source
     ) -> interfaces.ReadResult | None:
@@ -358,27 +378,51 @@
         position = self.known_position(topic)
         if position is None:
             return None
+        proof = self.proofs[topic]
         asked_at = self.clock.monotonic()
+        proof.check_started(asked_at)
         result = source.watch(topic, position.revision, 0.0)
         complete = _needs_list(result, position)
         if complete:
             result = source.read(topic)
+        now = self.clock.monotonic()
         if result.is_error():
-            # The watch finds a source that fails as well.
+            proof.check_failed(result.error.kind == interfaces.NO_ANSWER, now)
             return result
         batch = result.ok
-        self.proofs[topic].record(asked_at)
+        ends_outage = proof.record_answer(asked_at, now)
+        self._proof_recorded(topic, ends_outage, now)
         if batch.changes or complete:
             logs.info("change_missed", topic=topic, revision=batch.revision)
+            proof.change_learned(now)
             self.apply_batch(topic, batch, complete)
+        self._announce_proof(topic, now)
         return result
 
+    def _announce_proof(self, topic: str, now: float) -> None:
+        """Tell those who would ask next that the source has answered."""
+        notice = self._make_notice(now)
+        if not self.reader_selection.shared:
+            self._notify_group(notice)
+            return
+        if topic == interfaces.TARGETS:
+            # The watch of the targets gives no sign of contact then.
+            self._send_notices(now)
+            return
+        for host_id in self.reader_selection.contacts(self.peers.by_host):
+            self.peers.send(host_id, notice)
+
+    def watch_is_dead(self, topic: str) -> bool:
+        """Return whether to end the watch of a topic and start another."""
+        return self.proofs[topic].is_watch_dead(self.clock.monotonic())
+
     def peer_connected(self, peer: events.Peer) -> None:
         """Announce the view to a new peer; request its view if needed."""
         host_id = peer.host_id
         self.peer_domains[host_id] = peer.failure_domain
         if peer.failure_domain in self.reader_selection.domains:
-            self.peers.send(host_id, exchange.make_notice(self.view, False))
+            notice = self._make_notice(self.clock.monotonic())
+            self.peers.send(host_id, notice)
         now = self.clock.monotonic()
         if (
             not self.view.ready
@@ -396,14 +440,13 @@
         """Handle the view notice of a node nearby."""
         now = self.clock.monotonic()
         if notice.asks:
-            self.peers.send(host_id, exchange.make_notice(self.view, False))
-        if exchange.confirms(self.view, notice):
-            self.checks.record_confirmed(now)
+            self.peers.send(host_id, self._make_notice(now))
+        self._adopt_proofs(notice, now)
         if notice.fresh:
             self.source_contact_at = now
             self.reader_selection.record_contact(host_id, now)
         elif not self.reader_selection.shared and self.view.ready:
-            due = now + self._max_lag()
+            due = now + VIEW_LAG_SECONDS
             self._note_newer_view(host_id, notice, due)
             return
         # A relayed notice is not relayed again: contacts that hear only of
@@ -417,7 +460,32 @@
             else:
                 self._note_newer_view(host_id, notice, now)
         elif notice.fresh and not notice.relayed:
-            self._relay_notice(True, now)
+            if not self.reader_selection.is_reader(self.peers.by_host, now):
+                self._relay_notice(True, now)
+
+    def _adopt_proofs(self, notice: messages.ViewNotice, now: float) -> None:
+        """Take over what proves that a peer with the same view is current."""
+        if not exchange.is_same(self.view, notice):
+            return
+        ages = exchange.read_proof_ages(notice)
+        for topic, age in zip(PROOF_TOPICS, ages, strict=False):
+            ends_outage = self.proofs[topic].record(now - age, now)
+            self._proof_recorded(topic, ends_outage, now)
+
+    def _make_notice(
+        self,
+        now: float,
+        fresh: bool = False,
+        relayed: bool = False,
+        asks: bool = False,
+    ) -> messages.ViewNotice:
+        """Build a notice that announces the view and its proofs."""
+        topic_proofs = [self.proofs[topic] for topic in PROOF_TOPICS]
+        ages = [
+            proof.age(now) if relayed else proof.own_age(now)
+            for proof in topic_proofs
+        ]
+        return exchange.make_notice(self.view, fresh, relayed, asks, ages)
 
     def _knows_more(self, notice: messages.ViewNotice) -> bool:
         """Return whether to request the view that a notice announces."""
@@ -453,6 +521,7 @@
         """Apply the newer parts of a peer's view; return a decoding error."""
         previously_evacuated = self.view.evacuated
         version = self.view.version
+        targets = self.view.targets_digest
         now = self.clock.monotonic()
         lacks_base = exchange.lacks_base(self.view, message)
         result = exchange.apply_reply(self.view, message, now)
@@ -463,6 +532,13 @@
         if not result.ok:
             return None
         logs.info("view_from_peer", peer=host_id, revision=self.view.revision)
+        if targets != self.view.targets_digest:
+            self.proofs[interfaces.TARGETS].change_learned(now)
+        if (version, previously_evacuated) != (
+            self.view.version,
+            self.view.evacuated,
+        ):
+            self.proofs[interfaces.OPERATOR].change_learned(now)
         if self.view.configuration and self.view.version > version:
             logs.info(
                 "version_in_force",
@@ -484,11 +560,15 @@
             return SHARED_MAX_LAG_SECONDS
         return MAX_LAG_SECONDS
 
-    def _send_notices(self, fresh: bool) -> None:
+    def _send_notices(self, now: float) -> None:
         """Announce the view to the group and to the contacts of others."""
         if not self.reader_selection.shared:
             return
-        notice = exchange.make_notice(self.view, fresh)
+        fresh = all(
+            proof.age(now) <= proofs.CONTACT_SECONDS
+            for proof in self.proofs.values()
+        )
+        notice = self._make_notice(now, fresh)
         self._notify_group(notice)
         for host_id in self.reader_selection.other_contacts(
             self.peers.by_host
@@ -497,15 +577,11 @@
 
     def _relay_notice(self, fresh: bool, now: float) -> None:
         """Pass on what a reader has told within the group."""
-        connected = self.peers.by_host
-        selection = self.reader_selection
         if now - self.relayed_at < MIN_RELAY_INTERVAL_SECONDS:
             return
-        if selection.is_contact(connected, now) and not selection.is_reader(
-            connected, now
-        ):
+        if self.reader_selection.is_contact(self.peers.by_host, now):
             self.relayed_at = now
-            self._notify_group(exchange.make_notice(self.view, fresh, True))
+            self._notify_group(self._make_notice(now, fresh, relayed=True))
 
     def _notify_group(self, notice: messages.ViewNotice) -> None:
         """Send a notice to the connected nodes of the group."""
--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -161,6 +161,10 @@
             # The missed changes are gone from the history; read everything.
             self.position = None
             return 0.0
+        if failure.kind == interfaces.WATCH_ENDED:
+            # What it has missed may be known from a check or from a peer.
+            self.position = self.handler.known_position(self.topic)
+            return 0.0
         self._report_status(f"{failure.kind}: {failure.detail}")
         return self.backoff.next()
 
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -52,6 +52,8 @@
 
     def __init__(self, address: str, regions: dict[str, str]) -> None:
         self.regions = regions
+        # The topics whose waiting watch was ended.
+        self.ended: set[str] = set()
         self.use_address(address)
 
     def use_address(self, address: str) -> None:
@@ -61,6 +63,11 @@
         # again. It is then one of the same topic, and an older one.
         self.sessions = {topic: self._make_session() for topic in PREFIXES}
 
+    def end_watch(self, topic: str) -> None:
+        """End the watch of a topic that waits for changes."""
+        self.ended.add(topic)
+        self.sessions[topic].interrupt()
+
     def _make_session(self) -> http_client.Session:
         return http_client.Session(
             self.host, self.port, keepalive.SOURCE_OPTIONS
@@ -109,6 +116,8 @@
         # A watch that does not wait may run beside one that does. It is rare
         # and keeps no connection.
         session = self.sessions[topic] if wait else self._make_session()
+        if wait:
+            self.ended.discard(topic)
         try:
             result, era = self._get(session, "kv-watch", query, wait)
             # Older events belong to a response that has arrived twice.
@@ -122,6 +131,8 @@
             self._mark_announced(changes, events)
             revision = _read_revision(result)
         except _StoreError as error:
+            if wait and topic in self.ended:
+                return _to_result(_StoreError(interfaces.WATCH_ENDED))
             return _to_result(error)
         except (KeyError, TypeError) as error:
             return _to_result(_StoreError("malformed", repr(error)))
@@ -169,7 +180,7 @@
         ) as error:
             shortage = descriptors.is_shortage(error)
             raise _StoreError(
-                interfaces.NO_DESCRIPTOR if shortage else "unreachable",
+                interfaces.NO_DESCRIPTOR if shortage else interfaces.NO_ANSWER,
                 f"{type(error).__name__}: {error}"[:200],
             ) from error
         if response.status != 200:
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -25,3 +25,84 @@
     assert proof.age(20.0) == 20.0
     proof.call_failed()
     assert proof.age(21.0) == 21.0
+
+
+def test_proof_that_comes_back_by_a_detour_keeps_nobody_from_asking():
+    """Guards against nodes that confirm each other what nobody was told."""
+    proof = proofs.TopicProof(0.0)
+    for step in range(1, 30):
+        # Each relay makes it seem later by the time of a message.
+        proof.record(0.01 * step, 0.1 * step)
+    assert proof.check_due(0, 2.9)
+    assert proof.own_age(2.9) == 2.9
+
+
+def test_next_node_asks_if_the_first_one_tells_nothing():
+    proof = proofs.TopicProof(0.0)
+    due = [
+        next(
+            step / 100
+            for step in range(300)
+            if proof.check_due(rank, step / 100)
+        )
+        for rank in (0, 1, 2, 9)
+    ]
+    assert due == sorted(due) and due[0] < due[1] < due[2]
+    # Two nodes that hang leave the third one the time to find a change.
+    assert due[2] <= 1.3 and due[3] <= 1.6
+
+
+def open_watch(now=1.0, wait=25.0):
+    proof = proofs.TopicProof(0.0)
+    proof.call_started(wait, now)
+    return proof
+
+
+def test_watch_that_has_missed_a_change_is_dead():
+    proof = open_watch()
+    proof.change_learned(3.0)
+    assert not proof.is_watch_dead(3.4) and proof.is_watch_dead(3.5)
+    proof.call_started(25.0, 3.6)
+    assert not proof.is_watch_dead(5.0)
+
+
+def test_watch_that_was_open_while_the_source_was_silent_is_dead():
+    """Guards against a watch that was sent into a silence."""
+    proof = open_watch()
+    proof.check_failed(True, 4.0)
+    assert not proof.is_watch_dead(4.5)
+    proof.record_answer(5.0, 5.1)
+    assert proof.is_watch_dead(5.1)
+
+
+def test_refusal_of_a_check_says_nothing_against_the_watch():
+    proof = open_watch()
+    proof.check_failed(False, 4.0)
+    proof.record_answer(5.0, 5.1)
+    assert not proof.is_watch_dead(5.1)
+
+
+def test_watch_that_is_overdue_while_others_are_answered_is_dead():
+    proof = open_watch(wait=0.7)
+    assert not proof.is_watch_dead(5.0)
+    proof.record(3.0, 3.0)
+    assert proof.is_watch_dead(3.0)
+
+
+def test_outage_is_one_in_which_a_call_has_failed():
+    """Guards against removals that are held though the source was there."""
+    proof = proofs.TopicProof(0.0)
+    assert not proof.record_answer(5.0, 5.0)
+    proof.check_failed(True, 6.0)
+    assert not proof.record_answer(6.5, 6.5)
+    proof.check_failed(True, 8.0)
+    assert proof.record_answer(9.0, 9.0)
+
+
+def test_list_that_is_being_read_is_not_ended():
+    """Guards against a list that is begun again at each change."""
+    proof = open_watch(wait=0.0)
+    proof.change_learned(1.1)
+    proof.check_failed(True, 1.2)
+    proof.record(9.0, 9.0)
+    assert not proof.is_watch_dead(9.0)
--- a/tests/test_silent_watch.py
+++ b/tests/test_silent_watch.py
@@ -124,3 +124,104 @@
             member.lost_topics |= {interfaces.OPERATOR, interfaces.TARGETS}
         late += late_changes(domain, chance)
     assert late == []
+
+
+TOPICS = (interfaces.OPERATOR, interfaces.TARGETS)
+
+
+@pytest.mark.parametrize("size", [3, 7, 16])
+def test_changes_are_in_time_while_the_first_hosts_get_no_answer(size):
+    """Guards against hosts that leave the checks to one that hangs."""
+    late = []
+    for seed in range(SEEDS):
+        chance = random.Random(seed)
+        domain = make_domain(size, ONE_REGION, seed)
+        domain.run_for(START_SECONDS)
+        for member in domain.members.values():
+            member.lost_topics |= set(TOPICS)
+        for member in domain.readers()[: 1 + seed % 2]:
+            member.loses_checks = True
+        late += late_changes(domain, chance)
+    assert late == []
+
+
+def make_silent(domain, chance, seconds):
+    """Let the source be silent; a version comes right before and one in it."""
+    source = domain.source
+    source.put_version(2)
+    domain.run_for(0.02 + 0.3 * chance.random())
+    source.silent = True
+    domain.run_for(seconds / 2)
+    source.put_version(3)
+    domain.run_for(seconds / 2)
+    source.silent = False
+
+
+@pytest.mark.parametrize("size", [2, 7, 16])
+@pytest.mark.parametrize("regions", [ONE_REGION, TWO_REGIONS], ids=["1", "2"])
+def test_silent_outage_delays_no_change_after_it(regions, size):
+    """Guards against watches that were sent into a silence and stay open."""
+    late = []
+    for seed in range(SEEDS):
+        chance = random.Random(seed)
+        domain = make_domain(size, regions, seed)
+        domain.run_for(START_SECONDS)
+        make_silent(domain, chance, 0.5 + 4 * chance.random())
+        # From here on the hosts count as in touch.
+        domain.run_for(3.0)
+        late += [
+            (seed, "in the silence")
+            for member in domain.members.values()
+            if member.view.version != 3
+        ]
+        for version in range(4, 8):
+            domain.source.put_version(version)
+            domain.run_for(CHANGE_SECONDS - MARGIN_SECONDS)
+            late += [
+                (seed, version, member.host_id)
+                for member in domain.members.values()
+                if member.view.version != version
+            ]
+            domain.run_for(chance.random())
+    assert late == []
+
+
+def test_watch_that_has_missed_a_change_is_started_again():
+    """Guards against a later change that waits for a check as well."""
+    for seed in range(SEEDS):
+        domain = make_domain(7, ONE_REGION, seed)
+        domain.run_for(START_SECONDS)
+        for member in domain.members.values():
+            member.lost_topics |= set(TOPICS)
+        domain.run_for(0.1)
+        domain.source.put_version(2)
+        domain.run_for(0.1)
+        for member in domain.members.values():
+            member.lost_topics.clear()
+        domain.run_for(CHANGE_SECONDS + 1.0)
+        domain.source.put_version(3)
+        domain.run_for(0.3)
+        assert domain.lowest_version() == 3, seed
+
+
+def count_calls(size, regions, seconds=30.0, before=None):
+    domain = make_domain(size, regions, 1)
+    domain.run_for(START_SECONDS)
+    if before:
+        before(domain)
+    domain.source.calls = 0
+    domain.run_for(seconds)
+    return domain.source.calls
+
+
+@pytest.mark.parametrize("size", [7, 12, 28])
+def test_calls_while_nothing_answers_are_bounded(size):
+    """Guards against hosts that ask all the time during an outage."""
+
+    def silence(domain):
+        domain.source.silent = True
+
+    # Each host that asks waits for its answer until the call times out.
+    asking = min(size, 2 * 6) if size > 12 else size
+    calls = count_calls(size, ONE_REGION, before=silence)
+    assert calls <= asking * 2 * 30 * 1.5
