Read a configuration again that could not be decoded

What callers would see: a version missed until the next one. Cause: an op/config that could not be decoded was logged, and the position moved past it. Class of fault: a position that tells more than was applied.

Change: such a batch is partial. Its evacuations hold, the position and the proof of the topic stay, and the watcher reads again with a backoff.

--- a/src/hickorythread/mesh/interfaces.py
+++ b/src/hickorythread/mesh/interfaces.py
@@ -74,10 +74,12 @@
 
     revision is the position from which to watch for further changes.
     superseded counts the changes that were dropped because a later change in
-    the same batch replaces them. era is that of the source.
+    the same batch replaces them. era is that of the source. is_partial is
+    True if the configuration could not be decoded: the other changes hold, and
+    the position was not reached.
     """
 
-    __slots__ = ("changes", "revision", "superseded", "era")
+    __slots__ = ("changes", "revision", "superseded", "era", "is_partial")
 
     def __init__(
         self,
@@ -85,11 +87,13 @@
         revision: int,
         superseded: int = 0,
         era: int = models.UNKNOWN_ERA,
+        is_partial: bool = False,
     ) -> None:
         self.changes = changes
         self.revision = revision
         self.superseded = superseded
         self.era = era
+        self.is_partial = is_partial
 
     @property
     def position(self) -> models.Position:
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -168,10 +168,10 @@
         """Record that the call of a watcher was answered or has failed."""
         now = self.clock.monotonic()
         proof = self.proofs[topic]
-        if result.is_ok():
+        if result.is_ok() and not result.ok.is_partial:
             ends_outage = proof.call_answered(bool(result.ok.changes), now)
             self._proof_recorded(topic, ends_outage, now)
-        elif result.error.kind in interfaces.ANSWERED_KINDS:
+        elif result.is_ok() or result.error.kind in interfaces.ANSWERED_KINDS:
             proof.called_at = None
         else:
             proof.call_failed()
@@ -390,8 +390,9 @@
             proof.check_failed(result.error.kind == interfaces.NO_ANSWER, now)
             return result
         batch = result.ok
-        ends_outage = proof.record_answer(asked_at, now)
-        self._proof_recorded(topic, ends_outage, now)
+        if not batch.is_partial:
+            ends_outage = proof.record_answer(asked_at, now)
+            self._proof_recorded(topic, ends_outage, now)
         if batch.changes or complete:
             logs.info("change_missed", topic=topic, revision=batch.revision)
             proof.change_learned(now)
--- a/src/hickorythread/mesh/view.py
+++ b/src/hickorythread/mesh/view.py
@@ -155,15 +155,16 @@
             for change in batch.changes
             if isinstance(change, interfaces.SetEvacuated)
         ]
+        position = batch.position
+        if batch.is_partial:
+            position = self.operator_position
         if complete:
             listed = [c.failure_domain for c in changes if c.evacuated]
-            return self.put_evacuated(listed, batch.position, now)
+            return self.put_evacuated(listed, position, now)
         before = self.evacuated
         for change in changes:
             self.evacuations.set(change.failure_domain, change.evacuated)
-        self.operator_position = _advance(
-            self.operator_position, batch.position
-        )
+        self.operator_position = _advance(self.operator_position, position)
         return self.evacuated != before
 
     def _apply_configuration(
--- a/src/hickorythread/mesh/watcher.py
+++ b/src/hickorythread/mesh/watcher.py
@@ -107,6 +107,10 @@
             # What the revision stood for may be gone; read everything.
             self.position = None
             return 0.0
+        if batch.is_partial:
+            # What could not be decoded is read again.
+            self._apply(batch, complete)
+            return self.backoff.next()
         if complete or batch.changes:
             # A response without changes may carry a revision whose changes
             # the source has not processed yet. Keeping the older revision
--- a/src/hickorythread/platform/store.py
+++ b/src/hickorythread/platform/store.py
@@ -80,6 +80,7 @@
         the first page; a watch from there returns the changes made since.
         """
         changes: list[interfaces.Change] = []
+        is_partial = False
         revision = -1
         first_era = models.UNKNOWN_ERA
         query = {"prefix": PREFIXES[topic]}
@@ -92,7 +93,9 @@
                 elif era != first_era:
                     raise _StoreError("restored", f"era {first_era} to {era}")
                 items = _read_items(page, "items")
-                changes += self._decode_items(items)
+                decoded = self._decode_items(items)
+                changes += decoded
+                is_partial |= _lacks_configuration(items, decoded)
                 if not page.get("has_more") or not items:
                     break
                 query["after"] = items[-1]["key"]
@@ -101,7 +104,9 @@
         except (KeyError, TypeError) as error:
             return _to_result(_StoreError("malformed", repr(error)))
         return expression.Ok(
-            interfaces.ChangeBatch(changes, revision, era=first_era)
+            interfaces.ChangeBatch(
+                changes, revision, era=first_era, is_partial=is_partial
+            )
         )
 
     def watch(
@@ -142,7 +147,11 @@
         superseded = len(events) - len(items)
         return expression.Ok(
             interfaces.ChangeBatch(
-                changes, max(after, revision), superseded, era
+                changes,
+                max(after, revision),
+                superseded,
+                era,
+                _lacks_configuration(items, changes),
             )
         )
 
@@ -293,6 +302,19 @@
     return revision
 
 
+def _lacks_configuration(
+    items: list[Any], changes: list[interfaces.Change]
+) -> bool:
+    """Return whether the configuration was written and not decoded."""
+    is_written = any(
+        item["key"] == CONFIGURATION_KEY and not item.get("deleted")
+        for item in items
+    )
+    return is_written and not any(
+        isinstance(change, interfaces.PutConfiguration) for change in changes
+    )
+
+
 def _latest_events(events: list[Any]) -> list[Any]:
     """Return the last event of each key in the original order."""
     newest = {item["key"]: item for item in events}
