Forget who holds a newer version once it is no longer connected

Cause: a host that had heard of a newer version kept asking the peer it heard it from, also after that peer had gone. Another peer with the same version did not replace it.

Result: the new test failed before (requests to the host that is gone) and passes.

--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -321,7 +321,7 @@
         if self.newer_version is None:
             return ""
         holder, version, seen_at = self.newer_version
-        if version <= self.view.version:
+        if version <= self.view.version or holder not in self.peers.by_host:
             self.newer_version = None
             return ""
         return holder if now - seen_at >= self._max_lag() else ""
@@ -331,7 +331,8 @@
         if self.newer_view is None:
             return ""
         holder, notice, due = self.newer_view
-        if not exchange.knows_more(self.view, notice):
+        is_connected = holder in self.peers.by_host
+        if not is_connected or not exchange.knows_more(self.view, notice):
             self.newer_view = None
             return ""
         if now < due:
--- a/tests/test_view_replies.py
+++ b/tests/test_view_replies.py
@@ -63,6 +63,29 @@
     assert member.view.operator_position.revision == 50
 
 
+def test_version_is_asked_of_another_host_once_its_holder_is_gone():
+    """Guards against a host that asks one that left for a newer version."""
+    domain = view_domain.Domain(3)
+    domain.run_for(4.0)
+    member, holder, other = domain.readers()
+    node = member.synchronizer
+    sent = []
+
+    def send(host_id, message):
+        if isinstance(message, messages.ViewRequest):
+            sent.append(host_id)
+
+    member.send = send
+    node.version_seen(holder.host_id, 5)
+    del member.by_host[holder.host_id]
+    domain.run_for(1.0)
+    assert holder.host_id not in sent
+    node.version_seen(other.host_id, 5)
+    sent.clear()
+    domain.run_for(1.0)
+    assert other.host_id in sent
+
+
 def make_reply_with_malformed_targets(view):
     peer = make_peer_view((1, 2), revision=50)
     request = exchange.make_request(view)
