Put changes before, in and after the troubles of a store in the soak

Real sidecars had met a store that answers late or again after a silence, but not connections that stay silent for good, nor calls of one kind that are lost, nor versions at the moment of such a fault.

Change: three kinds of faults (silent in whole or in half, slow, restored), each with versions before, in and after; the stand-in keeps the connection of a lost response silent.

--- a/tools/loopback/faults.py
+++ b/tools/loopback/faults.py
@@ -246,6 +246,61 @@
             self.soak.writer.write_again(self.soak.targets)
         return True
 
+    def store_silent(self):
+        """Lose the answers of the store, with changes around it.
+
+        What is written right before brings each host to send its next watch
+        into the silence.
+        """
+        loss = self.random.choice(store_standin.LOSSES)
+        with self.soak.store_fault("store silent") as store:
+            if store is None:
+                return False
+            self.soak.writer.publish()
+            self._sleep(0.0, 0.4)
+            store.manner = loss
+            self._sleep(0.3, 2.0)
+            self.soak.writer.publish()
+            self._sleep(0.3, 2.0)
+            store.manner = store_standin.WHOLE
+        self._publish_later()
+        return True
+
+    def store_slow_changes(self):
+        """Let the store answer late, with changes before, in and after."""
+        with self.soak.store_fault("store slow changes") as store:
+            if store is None:
+                return False
+            self.soak.writer.publish()
+            store.delay_seconds = self.random.uniform(0.2, 3.0)
+            self._sleep(0.3, 3.0)
+            self.soak.writer.publish()
+            self._sleep(0.3, 3.0)
+            store.delay_seconds = 0.0
+        self._publish_later()
+        return True
+
+    def store_restore_changes(self):
+        """Restore the store from a copy, with changes before, in and after."""
+        with self.soak.store_fault("store restore changes") as store:
+            if store is None:
+                return False
+            copy = store.copy()
+            self.soak.writer.publish()
+            self._sleep(0.1, 2.0)
+            store.restore(copy, int(store.era_text or 0) + 1)
+            self.soak.writer.publish()
+            self._sleep(0.0, 0.5)
+            self.soak.writer.write_again(self.soak.targets)
+        self._publish_later()
+        return True
+
+    def _publish_later(self):
+        """Write versions after a fault, some once hosts are in touch again."""
+        for _ in range(3):
+            self._sleep(0.2, 3.5)
+            self.soak.writer.publish()
+
     def link_broken(self):
         """Disturb the link between one host and the store."""
         host = self.random.choice(self.soak.hosts)
@@ -482,6 +537,9 @@
         "store_broken",
         "store_restart",
         "store_restore",
+        "store_silent",
+        "store_slow_changes",
+        "store_restore_changes",
         "link_broken",
     ),
     (
--- a/tools/loopback/store_standin.py
+++ b/tools/loopback/store_standin.py
@@ -21,6 +21,12 @@
 RESET = "reset"
 SILENT = "silent"
 MANNERS = (GARBAGE, DRIP, RESET, SILENT)
+# The connection of a lost response answers nothing any more. The second loses
+# those of calls that wait, the third those of calls that do not.
+LOST = "lost"
+LOST_WATCHES = "lost watches"
+LOST_CHECKS = "lost checks"
+LOSSES = (LOST, LOST_WATCHES, LOST_CHECKS)
 
 
 class Store:
@@ -156,6 +162,12 @@
                     return {"events": events, "store_revision": revision}
                 self.condition.wait(remaining)
 
+    def loses_response(self, waits):
+        """Return whether the response to a call is lost now."""
+        if self.manner == LOST:
+            return True
+        return self.manner == (LOST_WATCHES if waits else LOST_CHECKS)
+
     def close(self):
         self.server.shutdown()
         self.server.server_close()
@@ -172,6 +184,7 @@
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    waits = False
     disable_nagle_algorithm = True
 
     def setup(self):
@@ -186,6 +199,7 @@
         store = self.server.store
         path, _, query = self.path.partition("?")
         values = dict(parse.parse_qsl(query))
+        self.waits = int(values.get("wait_ms", 0)) > 0
         store.calls.append(path)
         if store.error_status:
             self.respond(store.error_status, {"err": "refused"})
@@ -204,6 +218,12 @@
         store = self.server.store
         time.sleep(store.delay_seconds)
         data = json.dumps(document).encode()
+        if store.loses_response(self.waits):
+            self.close_connection = True
+            with contextlib.suppress(OSError):
+                # Until the client gives the connection up.
+                self.rfile.read()
+            return
         while store.manner == SILENT:
             time.sleep(POLL_SECONDS)
         if store.manner == GARBAGE:
