Ask less often while the calls of a host fail

Cause: all hosts of a group ask at short intervals while nobody gets an answer.

Change: a host whose last call failed waits twice as long before it asks again, until it or a peer has a proof.

The bounds hold in the tests of silent watches.

--- a/src/hickorythread/mesh/proofs.py
+++ b/src/hickorythread/mesh/proofs.py
@@ -21,6 +21,8 @@
 # How much longer each further node in rank waits, and up to how many turns.
 TURN_SECONDS = 0.15
 MAX_TURNS = 4
+# A node whose calls fail asks less often: the source may be away.
+FAILED_FACTOR = 2.0
 # A reader that has no younger proof for both topics has no contact.
 CONTACT_SECONDS = 1.5
 # How long a watch may take to return a change that is known from elsewhere,
@@ -148,9 +150,10 @@
 
     def check_due(self, rank: int, now: float) -> bool:
         """Return whether the node of a rank asks the source now."""
-        turns = min(rank, MAX_TURNS)
-        waited = now - max(self.heard_at, self.asked_at)
-        return waited >= PROOF_SECONDS + turns * TURN_SECONDS
+        interval = PROOF_SECONDS + min(rank, MAX_TURNS) * TURN_SECONDS
+        if self.has_failed:
+            interval *= FAILED_FACTOR
+        return now - max(self.heard_at, self.asked_at) >= interval
 
     def check_started(self, now: float) -> None:
         """Record that a check is sent."""
