--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -14,6 +14,7 @@
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import messages
 from hickorythread.mesh import models
+from hickorythread.mesh import newer_views
 from hickorythread.mesh import proofs
 from hickorythread.mesh import readership
 from hickorythread.mesh import settings as mesh_settings
@@ -120,11 +121,9 @@
         self.relay_until = 0.0
         self.relays_fresh = False
         self.relayed_at = 0.0
-        self.newer_version: tuple[str, int, float] | None = None
+        self.newer_views = newer_views.NewerViews(view)
         self.checks = view_checks.ViewChecks(random_source, now)
         self.proofs = {topic: proofs.TopicProof(now) for topic in PROOF_TOPICS}
-        # A peer that knows more, what it announced, and when to ask it.
-        self.newer_view: tuple[str, messages.ViewNotice, float] | None = None
         self.requested_at = 0.0
 
     # Handler of the watchers.
@@ -269,7 +268,9 @@
         }
         for target in self.view.targets.values():
             if regions.get(target.failure_domain) == region:
-                hosts[target.failure_domain].add(target.host_id)
+                hosts.setdefault(target.failure_domain, set()).add(
+                    target.host_id
+                )
         self.reader_selection.set_hosts(hosts)
         self.view_changed(previously_evacuated)
 
@@ -303,12 +304,13 @@
         waited = now - self.requested_at
         if waited < MIN_REQUEST_INTERVAL_SECONDS:
             return
-        host_id = self._holder_of_view(now)
+        connected = self.peers.by_host
+        host_id = self.newer_views.holder_of_view(connected, now)
         if not host_id and waited >= REQUEST_INTERVAL_SECONDS:
             if self.failing_topics or not self.view.ready:
                 host_id = self._any_peer()
             else:
-                host_id = self._holder_of_version(now)
+                host_id = self.newer_views.holder_of_version(connected, now)
         if host_id:
             self._request_view(host_id, now)
 
@@ -316,31 +318,6 @@
         connected = sorted(self.peers.by_host)
         return self.random_source.choice(connected) if connected else ""
 
-    def _holder_of_version(self, now: float) -> str:
-        """Return who holds a version that this node lacks for too long."""
-        if self.newer_version is None:
-            return ""
-        holder, version, seen_at = self.newer_version
-        if version <= self.view.version or holder not in self.peers.by_host:
-            self.newer_version = None
-            return ""
-        return holder if now - seen_at >= self._max_lag() else ""
-
-    def _holder_of_view(self, now: float) -> str:
-        """Return who knows what this node has not read for too long."""
-        if self.newer_view is None:
-            return ""
-        holder, notice, due = self.newer_view
-        is_connected = holder in self.peers.by_host
-        if not is_connected or not exchange.knows_more(self.view, notice):
-            self.newer_view = None
-            return ""
-        if now < due:
-            return ""
-        # If this one does not answer, the next check finds another.
-        self.newer_view = None
-        return holder
-
     def check_with_peer(self, now: float) -> None:
         """Ask a peer whether the view is current, if that is due."""
         if not self.view.ready:
@@ -449,7 +426,7 @@
             self.reader_selection.record_contact(host_id, now)
         elif not self.reader_selection.shared and self.view.ready:
             due = now + VIEW_LAG_SECONDS
-            self._note_newer_view(host_id, notice, due)
+            self.newer_views.notice_received(host_id, notice, due)
             return
         # A relayed notice is not relayed again: contacts that hear only of
         # each other must not take that for contact with the source.
@@ -460,7 +437,7 @@
             if now - self.requested_at >= MIN_REQUEST_INTERVAL_SECONDS:
                 self._request_view(host_id, now)
             else:
-                self._note_newer_view(host_id, notice, now)
+                self.newer_views.notice_received(host_id, notice, now)
         elif notice.fresh and not notice.relayed:
             if not self.reader_selection.is_reader(self.peers.by_host, now):
                 self._relay_notice(True, now)
@@ -495,21 +472,13 @@
             return exchange.is_newer(self.view, notice)
         return exchange.knows_more(self.view, notice)
 
-    def _note_newer_view(
-        self, host_id: str, notice: messages.ViewNotice, due: float
-    ) -> None:
-        """Remember a peer to ask if this node has not read it until due."""
-        if self.newer_view is None and exchange.knows_more(self.view, notice):
-            self.newer_view = (host_id, notice, due)
-
     def version_seen(self, host_id: str, version: int) -> None:
         """Record the version a peer holds if it is newer than this node's."""
-        if version <= self.view.version:
-            return
-        if self.newer_version is None:
-            self.newer_version = (host_id, version, self.clock.monotonic())
-        elif version > self.newer_version[1]:
-            self.newer_version = (host_id, version, self.newer_version[2])
+        lag = SHARED_MAX_LAG_SECONDS
+        if not self.reader_selection.shared:
+            lag = MAX_LAG_SECONDS
+        due = self.clock.monotonic() + lag
+        self.newer_views.version_seen(host_id, version, due)
 
     def make_view_reply(
         self, request: messages.ViewRequest
@@ -557,11 +526,6 @@
         self.requested_at = now
         self.peers.send(host_id, exchange.make_request(self.view))
 
-    def _max_lag(self) -> float:
-        if self.reader_selection.shared:
-            return SHARED_MAX_LAG_SECONDS
-        return MAX_LAG_SECONDS
-
     def _send_notices(self, now: float) -> None:
         """Announce the view to the group and to the contacts of others."""
         if not self.reader_selection.shared:
