Let a host that has just started claim no proof

Cause: a topic counted as proven at the start of the process. A host that then took the view of a peer passed that on as its own proof, and others that hold the same put off their check, by up to 0.9 s. Found by reading the change again. Class of fault: silence that counts as good news.

Change: nothing is proven before the first answer; the age is infinite then and proves nothing where it arrives.

Result: test_host_that_has_just_started_has_no_proof_to_pass_on failed before and passes.

--- a/src/hickorythread/mesh/exchange.py
+++ b/src/hickorythread/mesh/exchange.py
@@ -1,7 +1,6 @@
 """Messages that transfer the view of one node to another."""
 
 from collections.abc import Sequence
-import math
 from typing import Any
 
 import expression
@@ -85,9 +84,12 @@
 
 
 def read_proof_ages(notice: messages.ViewNotice) -> list[float]:
-    """Return how old the proofs of the sender are, empty if malformed."""
+    """Return how old the proofs of the sender are, empty if malformed.
+
+    The age of a proof that there is not is infinite.
+    """
     ages = notice.proof_ages
-    if all(type(age) is float and 0.0 <= age < math.inf for age in ages):
+    if all(type(age) is float and age >= 0.0 for age in ages):
         return ages
     return []
 
--- a/src/hickorythread/mesh/proofs.py
+++ b/src/hickorythread/mesh/proofs.py
@@ -15,6 +15,8 @@
 the nodes, as long as the first nodes of each group reach it.
 """
 
+import math
+
 # A change has to be in force within two seconds: it is found after this time
 # and a few turns at the latest, and then has to spread.
 PROOF_SECONDS = 0.9
@@ -61,8 +63,9 @@
     )
 
     def __init__(self, now: float) -> None:
-        self.proven_at = now
-        self.own_at = now
+        # Nothing has been proven yet; the first call is on its way.
+        self.proven_at = -math.inf
+        self.own_at = -math.inf
         self.heard_at = now
         self.called_at: float | None = None
         self.wait = 0.0
@@ -72,7 +75,10 @@
         self.has_failed = False
 
     def age(self, now: float) -> float:
-        """Return how many seconds ago the topic was last proven current."""
+        """Return how many seconds ago the topic was last proven current.
+
+        Infinite if it never was.
+        """
         return now - self.proven_at
 
     def own_age(self, now: float) -> float:
--- a/src/hickorythread/mesh/readership.py
+++ b/src/hickorythread/mesh/readership.py
@@ -143,6 +143,10 @@
             return True
         return self.rank(connected, now) < READER_COUNT
 
+    def watch_timeout(self, rank: int) -> float:
+        """Return how many seconds the reader of a rank watches targets."""
+        return self.standby_seconds if rank else self.watch_seconds
+
     def rank(self, connected: Collection[str], now: float) -> int:
         """Return how many connected hosts read before this one.
 
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import math
 from typing import Any
 from typing import Protocol
 
@@ -147,15 +148,10 @@
 
     def watch_timeout(self, topic: str) -> float:
         """Return how many seconds a watch waits for changes."""
-        selection = self.reader_selection
-        if selection.shared and topic == interfaces.TARGETS:
-            rank = self._rank(self.clock.monotonic())
-            return (
-                selection.standby_seconds
-                if rank
-                else (selection.watch_seconds)
-            )
-        if self.clock.monotonic() - self.started_at < STARTUP_SECONDS:
+        now = self.clock.monotonic()
+        if self.reader_selection.shared and topic == interfaces.TARGETS:
+            return self.reader_selection.watch_timeout(self._rank(now))
+        if now - self.started_at < STARTUP_SECONDS:
             return STARTUP_WATCH_TIMEOUT_SECONDS
         return WATCH_TIMEOUT_SECONDS
 
@@ -279,11 +275,15 @@
             self.on_decision(log)
 
     def proof_ages(self) -> dict[str, float]:
-        """Return how long ago each topic was shown to be current."""
+        """Return how long ago each topic was shown to be current.
+
+        Those that never were are left out.
+        """
         now = self.clock.monotonic()
         return {
             topic: round(proof.age(now), 3)
             for topic, proof in self.proofs.items()
+            if math.isfinite(proof.proven_at)
         }
 
     # Exchange with peers.
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -1,6 +1,38 @@
 """Tests of what shows that a topic of the view is current."""
 
+import math
+
+import pytest
+
+from hickorythread.mesh import exchange
 from hickorythread.mesh import proofs
+from tests import mesh_builders as build
+
+
+def make_proof():
+    """Return a topic that an answer of the source has proven at 0 s."""
+    proof = proofs.TopicProof(0.0)
+    proof.record_answer(0.0, 0.0)
+    return proof
+
+
+def test_host_that_has_just_started_has_no_proof_to_pass_on():
+    """Guards against a view of a peer that a new host calls its own proof."""
+    proof = proofs.TopicProof(7.0)
+    assert proof.age(7.0) == proof.own_age(7.0) == math.inf
+    proof.record(6.5, 7.1)
+    assert proof.age(7.5) == 1.0 and proof.own_age(7.5) == math.inf
+    view = build.make_view()
+    notice = exchange.make_notice(view, False, proof_ages=[math.inf, 0.5])
+    ages = exchange.read_proof_ages(notice)
+    assert not proof.record(9.0 - ages[0], 9.0)
+    assert proof.proven_at == 6.5
+
+
+@pytest.mark.parametrize("ages", [["1"], [-1.0, 1.0], [math.nan], [None], [3]])
+def test_malformed_ages_prove_nothing(ages):
+    notice = exchange.make_notice(build.make_view(), False, proof_ages=ages)
+    assert exchange.read_proof_ages(notice) == []
 
 
 def test_answer_proves_nothing_about_the_time_after_it_may_have_been_written():
@@ -20,7 +52,7 @@
 
 def test_open_call_proves_nothing():
     """Guards against a watch that is trusted because it is open."""
-    proof = proofs.TopicProof(0.0)
+    proof = make_proof()
     proof.call_started(25.0, 1.0)
     assert proof.age(20.0) == 20.0
     proof.call_failed()
@@ -29,7 +61,7 @@
 
 def test_proof_that_comes_back_by_a_detour_keeps_nobody_from_asking():
     """Guards against nodes that confirm each other what nobody was told."""
-    proof = proofs.TopicProof(0.0)
+    proof = make_proof()
     for step in range(1, 30):
         # Each relay makes it seem later by the time of a message.
         proof.record(0.01 * step, 0.1 * step)
@@ -53,7 +85,7 @@
 
 
 def open_watch(now=1.0, wait=25.0):
-    proof = proofs.TopicProof(0.0)
+    proof = make_proof()
     proof.call_started(wait, now)
     return proof
 
@@ -91,7 +123,7 @@
 
 def test_outage_is_one_in_which_a_call_has_failed():
     """Guards against removals that are held though the source was there."""
-    proof = proofs.TopicProof(0.0)
+    proof = make_proof()
     assert not proof.record_answer(5.0, 5.0)
     proof.check_failed(True, 6.0)
     assert not proof.record_answer(6.5, 6.5)
