Share the set-up of the tests of replies and of silent watches

Two tests of tests/test_view_replies.py built the same outdated reply, three of tests/test_silent_watch.py hung all watches.

--- a/tests/test_silent_watch.py
+++ b/tests/test_silent_watch.py
@@ -20,6 +20,7 @@
 ONE_REGION = {"launceston": "north", "devonport": "north"}
 TWO_REGIONS = ONE_REGION | {"hobart": "south", "kingston": "south"}
 HOSTS_PER_REGION = (2, 3, 6, 7, 12, 16, 28)
+TOPICS = (interfaces.OPERATOR, interfaces.TARGETS)
 
 
 class Change:
@@ -95,6 +96,12 @@
     return view_domain.Domain(size * count, tuple(regions), regions, seed)
 
 
+def hang_watches(domain):
+    """Let all watches, and those that are sent later, get no answer."""
+    for member in domain.members.values():
+        member.lost_topics |= set(TOPICS)
+
+
 def late_changes(domain, chance):
     """Make changes one after the other; return those that come too late."""
     late = []
@@ -120,15 +127,11 @@
         chance = random.Random(seed)
         domain = make_domain(size, regions, seed)
         domain.run_for(START_SECONDS)
-        for member in domain.members.values():
-            member.lost_topics |= {interfaces.OPERATOR, interfaces.TARGETS}
+        hang_watches(domain)
         late += late_changes(domain, chance)
     assert late == []
 
 
-TOPICS = (interfaces.OPERATOR, interfaces.TARGETS)
-
-
 @pytest.mark.parametrize("size", [3, 7, 16])
 def test_changes_are_in_time_while_the_first_hosts_get_no_answer(size):
     """Guards against hosts that leave the checks to one that hangs."""
@@ -137,8 +140,7 @@
         chance = random.Random(seed)
         domain = make_domain(size, ONE_REGION, seed)
         domain.run_for(START_SECONDS)
-        for member in domain.members.values():
-            member.lost_topics |= set(TOPICS)
+        hang_watches(domain)
         for member in domain.readers()[: 1 + seed % 2]:
             member.loses_checks = True
         late += late_changes(domain, chance)
@@ -191,8 +193,7 @@
     for seed in range(SEEDS):
         domain = make_domain(7, ONE_REGION, seed)
         domain.run_for(START_SECONDS)
-        for member in domain.members.values():
-            member.lost_topics |= set(TOPICS)
+        hang_watches(domain)
         domain.run_for(0.1)
         domain.source.put_version(2)
         domain.run_for(0.1)
--- a/tests/test_view_replies.py
+++ b/tests/test_view_replies.py
@@ -10,6 +10,8 @@
 from tests import mesh_builders as build
 from tests import view_domain
 
+PEER = "10.0.0.2"
+
 
 def make_operator_batch(version, revision):
     change = interfaces.PutConfiguration(build.make_configuration(version))
@@ -31,34 +33,37 @@
     return domain, domain.readers()[0]
 
 
-def test_version_is_not_dropped_after_a_reply_whose_base_was_replaced():
-    """Guards against a position that tells more than was applied."""
+def make_outdated_reply():
+    """Return a member, and a reply whose base it has replaced meanwhile."""
     domain, member = make_member()
     peer = make_peer_view((1, 2, 3), revision=50)
     request = exchange.make_request(member.view)
     reply = exchange.make_reply(peer, request, domain.now)
+    batch = make_operator_batch(2, 45)
+    member.synchronizer.apply_batch(interfaces.OPERATOR, batch, False)
+    return member, peer, reply
+
+
+def test_version_is_not_dropped_after_a_reply_whose_base_was_replaced():
+    """Guards against a position that tells more than was applied."""
+    member, _, reply = make_outdated_reply()
     node = member.synchronizer
-    node.apply_batch(interfaces.OPERATOR, make_operator_batch(2, 45), False)
-    node.reply_received(domain.readers()[1].host_id, reply)
+    node.reply_received(PEER, reply)
     node.apply_batch(interfaces.OPERATOR, make_operator_batch(3, 48), False)
     assert member.view.version == 3
 
 
 def test_reply_whose_base_was_replaced_is_asked_for_again():
     """Guards against a host that waits for the next notice."""
-    domain, member = make_member()
-    peer = make_peer_view((1, 2, 3), revision=50)
-    request = exchange.make_request(member.view)
-    reply = exchange.make_reply(peer, request, domain.now)
+    member, peer, reply = make_outdated_reply()
     node = member.synchronizer
-    node.apply_batch(interfaces.OPERATOR, make_operator_batch(2, 45), False)
     sent = []
     member.send = lambda host_id, message: sent.append(message)
-    node.reply_received(domain.readers()[1].host_id, reply)
+    node.reply_received(PEER, reply)
     (again,) = sent
     assert isinstance(again, messages.ViewRequest) and again.version == 2
-    reply = exchange.make_reply(peer, again, domain.now)
-    node.reply_received(domain.readers()[1].host_id, reply)
+    reply = exchange.make_reply(peer, again, member.domain.now)
+    node.reply_received(PEER, reply)
     assert member.view.version == 3
     assert member.view.operator_position.revision == 50
 
