Identify client accounts by their keys and lease them by proofs

Cause: configurations with client accounts were served without looking at them: keys went on to targets and requests with any key ran.

Change: accounts are part of the configuration, with digests of their keys. The entry node asks for a key on routes that are not public, passes the account's name on instead of the key, and uses the priority and regions of the account. A key counts only while the configuration is proven current. Bounds of the platform become settings in platform/settings.py; without them, and without accounts, nothing changes.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -167,12 +167,15 @@
     """
     from hickorythread.mesh import settings as settings_module
     from hickorythread.mesh import settings_file
+    from hickorythread.platform import settings as platform_settings
 
     log_stream.guard_standard_streams()
     signature = settings_file.wait_until_readable(settings)
     return _run_process(
         settings,
-        settings_module.Settings.from_config,
+        lambda document: settings_module.Settings.from_config(
+            platform_settings.translate(document)
+        ),
         "hickorythread.platform.sidecar",
         settings,
         signature,
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -7,6 +7,8 @@
 from hickorythread import interfaces
 from hickorythread import messages as base_messages
 from hickorythread import retries
+from hickorythread.mesh import account_lease
+from hickorythread.mesh import accounts
 from hickorythread.mesh import ends
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
@@ -56,9 +58,11 @@
         settings: mesh_settings.Settings,
         view: mesh_view.View,
         random_source: interfaces.RandomSource,
+        lease: account_lease.AccountLease,
     ) -> None:
         self.settings = settings
         self.view = view
+        self.lease = lease
         self.placement = placement.Placement(
             settings.host_id,
             settings.failure_domain,
@@ -105,13 +109,26 @@
         route = router.find(request.host, request.path)
         if route is None:
             return self._refuse(request, 404, "no-route")
+        account: models.Account | None = None
+        if router.needs_account(route):
+            identified = accounts.identify(router, request, self.lease, now)
+            if identified.is_error():
+                refusal = identified.error
+                return self._refuse(
+                    request,
+                    refusal.status,
+                    refusal.reason,
+                    refusal.retry_after_seconds,
+                )
+            account = identified.ok
+            route = router.route_for(route, account)
         remaining = route.timeout
         if request.remaining is not None:
             remaining = min(remaining, request.remaining)
         deadline = request.received_at + remaining
         service = self.splitter.choose_service(route)
         pending = pending_request.PendingRequest(
-            request, route, service, deadline
+            request, route, service, deadline, account
         )
         if now >= deadline:
             return self._respond(pending, 504, "deadline")
@@ -236,7 +253,7 @@
 
     def tick(self, now: float) -> Actions:
         """Respond to the requests whose deadline has passed."""
-        actions: Actions = []
+        actions: Actions = self.lease.tick(now)
         while (pending := self.calls.next_expired(now)) is not None:
             peer = self.placement.peer(pending.host_id)
             peer.record_result(True, now)
--- a/src/hickorythread/mesh/events.py
+++ b/src/hickorythread/mesh/events.py
@@ -18,7 +18,9 @@
 
     request_id is the client's id of this attempt, number the node's own id.
     received_at is in monotonic seconds. remaining is the client's timeout in
-    seconds, None if the client sets none.
+    seconds, None if the client sets none. key_digest identifies the key of
+    the client account, empty without one; the key itself is kept nowhere.
+    has_several_keys is True if the request does not carry one key only.
     """
 
     __slots__ = (
@@ -31,6 +33,8 @@
         "body",
         "received_at",
         "remaining",
+        "key_digest",
+        "has_several_keys",
     )
 
     def __init__(
@@ -44,6 +48,8 @@
         body: bytes,
         received_at: float,
         remaining: float | None,
+        key_digest: bytes = b"",
+        has_several_keys: bool = False,
     ) -> None:
         self.number = number
         self.request_id = request_id
@@ -54,6 +60,8 @@
         self.body = body
         self.received_at = received_at
         self.remaining = remaining
+        self.key_digest = key_digest
+        self.has_several_keys = has_several_keys
 
 
 class Response(Record):
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -14,7 +14,8 @@
 class Forward(messages.Message):
     """Ask the node on a target's host to run a request at the target.
 
-    repeat is True if the request was sent to another target before.
+    repeat is True if the request was sent to another target before. account
+    is the name of the client account, empty if there is none.
 
     remaining is the time until the deadline and objective the time until the
     response misses the latency objective, both in seconds. Priority 0 is the
@@ -36,10 +37,11 @@
         "priority",
         "caller_service",
         "repeat",
+        "account",
     )
     code = 40
-    # Nodes of earlier releases send no repeat field.
-    defaults = (False,)
+    # Nodes of earlier releases send no repeat field and no account.
+    defaults = (False, "")
     types = (
         int,
         str,
@@ -55,6 +57,7 @@
         int,
         str,
         bool,
+        str,
     )
 
     def __init__(
@@ -73,6 +76,7 @@
         priority: int,
         caller_service: str,
         repeat: bool = False,
+        account: str = "",
     ) -> None:
         self.call_id = call_id
         self.request_id = request_id
@@ -88,6 +92,7 @@
         self.priority = priority
         self.caller_service = caller_service
         self.repeat = repeat
+        self.account = account
 
 
 class TargetState(messages.Message):
--- a/src/hickorythread/mesh/models.py
+++ b/src/hickorythread/mesh/models.py
@@ -6,6 +6,8 @@
 
 # Era of a source that states none.
 UNKNOWN_ERA = -1
+# No region has this name.
+NO_REGION = ""
 
 
 class Value:
@@ -61,7 +63,7 @@
 
     destinations holds pairs of a service and its weight. Without home regions
     any region may serve the route. Times are in seconds; priority 0 is the
-    highest.
+    highest. A public route needs no client account.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         "attempts",
         "priority",
         "home_regions",
+        "public",
     )
 
     def __init__(
@@ -89,6 +92,7 @@
         attempts: int,
         priority: int,
         home_regions: list[str],
+        public: bool = False,
     ) -> None:
         self.name = name
         self.host = host
@@ -100,11 +104,34 @@
         self.attempts = attempts
         self.priority = priority
         self.home_regions = home_regions
+        self.public = public
 
     def allows(self, region: str) -> bool:
         """Return whether a region may serve the route."""
         return not self.home_regions or region in self.home_regions
 
+    def pack(self) -> list[Any]:
+        """Return the fields in order for a message.
+
+        Nodes of earlier releases do not know public routes.
+        """
+        values = self.values()
+        return values if self.public else values[:-1]
+
+    def for_account(self, account: "Account") -> "Route":
+        """Return the route with the priority and the regions of an account."""
+        fields = dict(zip(self.__slots__, self.values(), strict=True))
+        if account.priority is not None:
+            fields["priority"] = account.priority
+        regions = account.home_regions
+        if regions and self.home_regions:
+            regions = [name for name in regions if self.allows(name)]
+            # Without a region in common, no region may serve the request.
+            fields["home_regions"] = regions or [NO_REGION]
+        elif regions:
+            fields["home_regions"] = regions
+        return Route(**fields)
+
 
 class Service(Value):
     """Describe the targets of one service.
@@ -136,6 +163,41 @@
         self.warmup_rate = warmup_rate
 
 
+class Account(Value):
+    """Describe a client account.
+
+    key_digests identify the keys that its requests carry. Without a priority
+    that of the route holds. All hosts together accept rate requests per
+    second and burst more at once; a rate of 0 sets no limit. Without home
+    regions any region may serve the account.
+    """
+
+    __slots__ = (
+        "name",
+        "key_digests",
+        "priority",
+        "rate",
+        "burst",
+        "home_regions",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        key_digests: list[bytes],
+        priority: int | None,
+        rate: float,
+        burst: float,
+        home_regions: list[str],
+    ) -> None:
+        self.name = name
+        self.key_digests = key_digests
+        self.priority = priority
+        self.rate = rate
+        self.burst = burst
+        self.home_regions = home_regions
+
+
 class Limits(Value):
     """Limit the requests and connections of clients; times are in seconds."""
 
@@ -155,9 +217,13 @@
 
 
 class Configuration(Value):
-    """Hold one version of the complete mesh configuration."""
+    """Hold one version of the complete mesh configuration.
+
+    If accounts is not None, only requests of a client account may use the
+    routes that are not public.
+    """
 
-    __slots__ = ("version", "routes", "services", "limits")
+    __slots__ = ("version", "routes", "services", "limits", "accounts")
 
     def __init__(
         self,
@@ -165,20 +231,25 @@
         routes: list[Route],
         services: dict[str, Service],
         limits: Limits,
+        accounts: list[Account] | None = None,
     ) -> None:
         self.version = version
         self.routes = routes
         self.services = services
         self.limits = limits
+        self.accounts = accounts
 
     def pack(self) -> list[Any]:
         """Return the configuration as plain lists for a message."""
-        return [
+        packed: list[Any] = [
             self.version,
-            [route.values() for route in self.routes],
+            [route.pack() for route in self.routes],
             [service.values() for service in self.services.values()],
             self.limits.values(),
         ]
+        if self.accounts is not None:
+            packed.append([account.values() for account in self.accounts])
+        return packed
 
     @classmethod
     def unpack(cls, values: list[Any]) -> "Configuration":
@@ -186,13 +257,15 @@
 
         Raises TypeError or ValueError if the values are malformed.
         """
-        version, routes, services, limits = values
+        version, routes, services, limits, *rest = values
         service_list = [Service(*fields) for fields in services]
+        accounts = [Account(*fields) for fields in rest[0]] if rest else None
         return cls(
             version,
             [Route(*fields) for fields in routes],
             {service.name: service for service in service_list},
             Limits(*limits),
+            accounts,
         )
 
 
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -27,6 +27,7 @@
 from hickorythread import server
 from hickorythread import streams
 from hickorythread import utils
+from hickorythread.mesh import account_lease
 from hickorythread.mesh import call_memory
 from hickorythread.mesh import connections
 from hickorythread.mesh import entry
@@ -94,7 +95,6 @@
         self.decisions.ordinary_lines_per_second = ORDINARY_LINES_PER_SECOND
         self.decisions.lines_per_second = LINES_PER_SECOND
         self.request_duration = self.metrics.duration("request")
-        self.entry = entry.EntryPlane(settings, self.view, random_source)
         self.execution = execution.ExecutionPlane(settings, self.view, now)
         self.memory = memory_budget.MemoryBudget.from_memory(
             settings.memory_mb, clock.monotonic
@@ -137,6 +137,15 @@
             self._record_source_call,
             self._log,
         )
+        self.account_lease = account_lease.AccountLease(
+            settings,
+            self.synchronizer.proofs[interfaces.OPERATOR],
+            utils.boot_time,
+            now,
+        )
+        self.entry = entry.EntryPlane(
+            settings, self.view, random_source, self.account_lease
+        )
         self.clients: dict[int, interfaces.Client] = {}
         self.backlog = pipelining.Backlog()
         self.client_connections = http_protocol.ConnectionOptions(
@@ -703,6 +712,7 @@
             "revision": self.view.revision,
             "operator_revision": self.view.operator_position.revision,
             "proof_age_seconds": self.synchronizer.proof_ages(),
+            "account_lease": self.account_lease.held,
             "targets": len(self.view.targets),
             "evacuated": sorted(self.view.evacuated),
             "connected": sorted(self.streams.by_host),
--- a/src/hickorythread/mesh/pending_request.py
+++ b/src/hickorythread/mesh/pending_request.py
@@ -33,6 +33,7 @@
         "tried_hosts",
         "retry_after",
         "failure_response",
+        "account",
     )
 
     def __init__(
@@ -41,6 +42,7 @@
         route: models.Route,
         service: str,
         deadline: float,
+        account: models.Account | None = None,
     ) -> None:
         self.request = request
         self.route = route
@@ -58,6 +60,7 @@
         self.tried_hosts: set[str] = set()
         self.retry_after = math.inf
         self.failure_response: events.Response | None = None
+        self.account = account
 
     @property
     def sent_to_target(self) -> bool:
@@ -86,4 +89,5 @@
             route.priority,
             caller_service,
             self.sent_to_target,
+            self.account.name if self.account else "",
         )
--- a/src/hickorythread/mesh/reasons.py
+++ b/src/hickorythread/mesh/reasons.py
@@ -44,3 +44,9 @@
 
 # A task of this process failed, or a broken invariant ends it.
 DEFECT = "defect"
+
+# The entry node itself refuses the request for its client account.
+SEVERAL_KEYS = "several-keys"
+NO_KEY = "no-key"
+UNKNOWN_KEY = "unknown-key"
+ACCOUNT_LEASE = "account-lease"
--- a/src/hickorythread/mesh/routing.py
+++ b/src/hickorythread/mesh/routing.py
@@ -3,11 +3,23 @@
 from hickorythread import interfaces
 from hickorythread.mesh import models
 
+# Each takes about half a kilobyte.
+MAX_ACCOUNT_ROUTES = 4096
+
 
 class Router:
-    """Match requests to the routes of one configuration."""
+    """Match requests to the routes and accounts of one configuration.
+
+    account_routes holds the routes as accounts use them, by the names of the
+    route and the account.
+    """
 
-    __slots__ = ("configuration", "by_host")
+    __slots__ = (
+        "configuration",
+        "by_host",
+        "accounts_by_key",
+        "account_routes",
+    )
 
     def __init__(self, configuration: models.Configuration) -> None:
         self.configuration = configuration
@@ -15,6 +27,12 @@
         for route in configuration.routes:
             prefixes = self.by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
+        self.accounts_by_key = {
+            digest: account
+            for account in configuration.accounts or ()
+            for digest in account.key_digests
+        }
+        self.account_routes: dict[tuple[str, str], models.Route] = {}
 
     def find(self, host: str, path: str) -> models.Route | None:
         """Return the route of a host with the longest matching prefix."""
@@ -29,6 +47,27 @@
                 return route
         return None
 
+    def needs_account(self, route: models.Route) -> bool:
+        """Return whether only client accounts may use a route."""
+        return self.configuration.accounts is not None and not route.public
+
+    def account(self, key_digest: bytes) -> models.Account | None:
+        """Return the account that holds a key, None if there is none."""
+        return self.accounts_by_key.get(key_digest)
+
+    def route_for(
+        self, route: models.Route, account: models.Account
+    ) -> models.Route:
+        """Return a route as the requests of an account use it."""
+        names = (route.name, account.name)
+        own_route = self.account_routes.get(names)
+        if own_route is None:
+            if len(self.account_routes) >= MAX_ACCOUNT_ROUTES:
+                self.account_routes.clear()
+            own_route = route.for_account(account)
+            self.account_routes[names] = own_route
+        return own_route
+
 
 class TrafficSplitter:
     """Distribute the requests of each route over its services by weight.
--- a/src/hickorythread/mesh/settings.py
+++ b/src/hickorythread/mesh/settings.py
@@ -21,7 +21,10 @@
     receive, in any second, warmup_rate_factor times its warm-up rate, plus
     warmup_burst requests. The removal of a target must be in force within
     removal_ms. The process is ended from outside if it uses more than
-    memory_mb MiB.
+    memory_mb MiB. A key that was withdrawn must be refused after
+    revocation_ms on every host, 0 if there is no such bound. In any
+    quota_window_seconds, a client account gets at most the fraction
+    quota_excess_share and quota_slack requests beyond its quota.
     """
 
     __slots__ = (
@@ -44,6 +47,10 @@
         "warmup_burst",
         "removal_ms",
         "memory_mb",
+        "revocation_ms",
+        "quota_window_seconds",
+        "quota_excess_share",
+        "quota_slack",
         "log_level",
     )
 
@@ -67,6 +74,10 @@
         warmup_burst: float = 2.0,
         removal_ms: float = 2000.0,
         memory_mb: float = DEFAULT_MEMORY_MB,
+        revocation_ms: float = 0.0,
+        quota_window_seconds: float = 5.0,
+        quota_excess_share: float = 0.0,
+        quota_slack: float = 0.0,
         name: str = "",
         log_level: str = "info",
     ) -> None:
@@ -89,6 +100,10 @@
         self.warmup_burst = warmup_burst
         self.removal_ms = removal_ms
         self.memory_mb = memory_mb
+        self.revocation_ms = revocation_ms
+        self.quota_window_seconds = quota_window_seconds
+        self.quota_excess_share = quota_excess_share
+        self.quota_slack = quota_slack
         self.log_level = log_level
 
     @property
--- a/src/hickorythread/mesh/settings_file.py
+++ b/src/hickorythread/mesh/settings_file.py
@@ -1,7 +1,9 @@
 """Reloads the settings file of a running sidecar."""
 
+from collections.abc import Callable
 import os
 import time
+from typing import Any
 
 import expression
 
@@ -22,6 +24,10 @@
     "retry_window_seconds",
     "warmup_rate_factor",
     "warmup_burst",
+    "revocation_ms",
+    "quota_window_seconds",
+    "quota_excess_share",
+    "quota_slack",
 )
 
 # A file that is being replaced may be missing, empty or cut at the start.
@@ -29,6 +35,12 @@
 POLL_SECONDS = 0.05
 
 FileSignature = tuple[int, int, int]
+Translate = Callable[[Any], Any]
+
+
+def keep_document(document: Any) -> Any:
+    """Return a document that needs no translation."""
+    return document
 
 
 class SettingsFile:
@@ -39,8 +51,13 @@
         path: str,
         settings: mesh_settings.Settings,
         signature: FileSignature | None,
+        translate: Translate = keep_document,
     ) -> None:
-        """Watch a file; signature is the one from before it was read."""
+        """Watch a file; signature is the one from before it was read.
+
+        translate turns a document of the platform into one of settings.
+        """
+        self.translate = translate
         self.path = path
         self.settings = settings
         self.signature = signature
@@ -84,7 +101,8 @@
         loaded = documents.read(self.path, descriptors.is_shortage)
         if loaded.is_error():
             return expression.Error(loaded.error)
-        return mesh_settings.Settings.from_config(loaded.ok)
+        document = self.translate(loaded.ok)
+        return mesh_settings.Settings.from_config(document)
 
     def _postpone(self, error: OSError) -> None:
         """Leave the change to a later check; it is logged once."""
--- a/src/hickorythread/platform/documents.py
+++ b/src/hickorythread/platform/documents.py
@@ -8,6 +8,7 @@
 from hickorythread import codec
 from hickorythread import http_requests
 from hickorythread.mesh import models
+from hickorythread.platform import accounts
 
 DRAINING_BY_PHASE = {"ready": False, "draining": True}
 # Bounds beyond which a value is a mistake of its writer. Peers pack integers
@@ -55,7 +56,10 @@
                 limits["header_timeout_ms"] / 1000.0,
                 limits["idle_timeout_ms"] / 1000.0,
             ),
+            accounts.decode(document),
         )
+    except accounts.AccountsError as error:
+        raise DocumentError(f"invalid configuration: {error}") from error
     except (
         KeyError,
         TypeError,
@@ -149,6 +153,7 @@
         int(entry.get("attempts", 1)),
         int(entry.get("priority", 0)),
         [str(region) for region in entry.get("allowed_regions") or ()],
+        entry.get("public") is True,
     )
 
 
--- a/src/hickorythread/platform/headers.py
+++ b/src/hickorythread/platform/headers.py
@@ -3,6 +3,7 @@
 import re
 from typing import Any
 
+from hickorythread import account_keys
 from hickorythread import server
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
@@ -13,6 +14,10 @@
 REMAINING_MS = "Hickorythread-Deadline-Ms"
 # Id of the only target process that may run the request.
 EXPECTED_TARGET = "Hickorythread-Expect-Instance"
+# Key of a client account.
+KEY = "Hickorythread-Key"
+# Name of the client account, as targets receive it.
+ACCOUNT = "Hickorythread-Tenant"
 # Service of the target on the host where the request originated.
 CALLER_SERVICE = "Hickorythread-Caller-Service"
 # What a target signs each response with.
@@ -30,7 +35,8 @@
 
 # Request headers of clients that are replaced by the values of the sidecar.
 _OVERWRITTEN = frozenset(
-    name.lower() for name in (REMAINING_MS, EXPECTED_TARGET, CALLER_SERVICE)
+    name.lower()
+    for name in (REMAINING_MS, EXPECTED_TARGET, CALLER_SERVICE, KEY, ACCOUNT)
 )
 # Response headers that apply to a single connection or only to the target's
 # own sidecar.
@@ -55,6 +61,7 @@
         fields = environ["headers_raw"]
         request_id = ""
         remaining: float | None = None
+        keys: list[str] = []
         forwarded: list[list[str]] = []
         hop_headers = server.HOP_BY_HOP_HEADERS | _connection_options(fields)
         for name, value in fields:
@@ -63,6 +70,8 @@
                 request_id = value
             elif lower_name == REMAINING_MS.lower():
                 remaining = _parse_milliseconds(value)
+            elif lower_name == KEY.lower():
+                keys.append(value)
             if lower_name in _OVERWRITTEN or (
                 lower_name in hop_headers and lower_name != "host"
             ):
@@ -79,6 +88,8 @@
             body,
             now,
             remaining,
+            account_keys.digest(keys[0]) if len(keys) == 1 else b"",
+            len(keys) > 1,
         )
 
     def target_headers(
@@ -88,6 +99,8 @@
         lines = [f"{name}: {value}" for name, value in call.headers]
         lines.append(f"{REMAINING_MS}: {max(1, int(remaining * 1000))}")
         lines.append(f"{CALLER_SERVICE}: {call.caller_service}")
+        if call.account:
+            lines.append(f"{ACCOUNT}: {call.account}")
         if instance:
             lines.append(f"{EXPECTED_TARGET}: {instance}")
         return lines
--- a/src/hickorythread/platform/sidecar.py
+++ b/src/hickorythread/platform/sidecar.py
@@ -4,6 +4,7 @@
 from hickorythread.mesh import settings as mesh_settings
 from hickorythread.mesh import settings_file
 from hickorythread.platform import headers
+from hickorythread.platform import settings as platform_settings
 from hickorythread.platform import store
 
 
@@ -18,5 +19,7 @@
     is that of the file before the settings were read.
     """
     source = store.StoreClient(settings.source_address, settings.regions)
-    watched_file = settings_file.SettingsFile(path, settings, signature)
+    watched_file = settings_file.SettingsFile(
+        path, settings, signature, platform_settings.translate
+    )
     return node.run(settings, source, headers.Headers(), watched_file)
--- a/src/hickorythread/utils.py
+++ b/src/hickorythread/utils.py
@@ -66,6 +66,11 @@
         return time.time()
 
 
+def boot_time() -> float:
+    """Return seconds of a clock that goes on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split IP:port; an IPv6 address is in brackets."""
     host, _, port = address.rpartition(":")
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -2,12 +2,15 @@
 
 import random
 
+from hickorythread import account_keys
 from hickorythread import messages as base_messages
+from hickorythread.mesh import account_lease
 from hickorythread.mesh import entry
 from hickorythread.mesh import events
 from hickorythread.mesh import execution
 from hickorythread.mesh import messages
 from hickorythread.mesh import models
+from hickorythread.mesh import proofs
 from hickorythread.mesh import settings
 from hickorythread.mesh import view
 from tools.loopback import documents
@@ -102,10 +105,37 @@
     return new_view
 
 
-def make_entry(made_view=None, number=1, connected=3, seed=1):
+def make_lease(settings=None, proof=None, boot_clock=lambda: 0.0):
+    """Build a lease, which holds for good if the settings set no bound."""
+    return account_lease.AccountLease(
+        settings or make_settings(),
+        proof or proofs.TopicProof(0.0),
+        boot_clock,
+        0.0,
+    )
+
+
+def make_account(name="acme", **values):
+    """Build a client account whose key is its name."""
+    fields = {
+        "name": name,
+        "key_digests": [account_keys.digest(name)],
+        "priority": None,
+        "rate": 0.0,
+        "burst": 0.0,
+        "home_regions": [],
+    }
+    return models.Account(**(fields | values))
+
+
+def make_entry(made_view=None, number=1, connected=3, seed=1, lease=None):
     made_view = made_view or make_view()
+    settings = make_settings(number)
     plane = entry.EntryPlane(
-        make_settings(number), made_view, random.Random(seed)
+        settings,
+        made_view,
+        random.Random(seed),
+        lease or make_lease(settings),
     )
     plane.view_changed()
     for other in range(1, connected + 1):
--- a/tests/mesh_load.py
+++ b/tests/mesh_load.py
@@ -79,7 +79,10 @@
         """Start the node of this host, without any knowledge."""
         self.view = view.View()
         self.entry = entry.EntryPlane(
-            self.settings, self.view, random.Random(self.host_id)
+            self.settings,
+            self.view,
+            random.Random(self.host_id),
+            build.make_lease(self.settings),
         )
         self.execution = execution.ExecutionPlane(
             self.settings, self.view, self.simulation.now
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
 from hickorythread.mesh import view as mesh_view
 from hickorythread.platform import documents
 from hickorythread.platform import headers
+from hickorythread.platform import settings as platform_settings
 from hickorythread.platform import store
 from tests import mesh_builders as build
 from tests import servers
@@ -304,9 +305,11 @@
         "bounds.warmup_slack": "5",
         "bounds.drain_ms": "2000",
         "limits.memory_mb": "300",
+        "bounds|json": '{"drain_ms": 2000}',
     }
     rendered = re.sub(r"\{\{(.*?)\}\}", lambda m: values[m[1]], text)
-    result = settings.Settings.from_config(json.loads(rendered))
+    document = platform_settings.translate(json.loads(rendered))
+    result = settings.Settings.from_config(document)
     assert result.is_ok() and result.ok.region == "north-tas"
 
 
