Make the sockets of a node cooperative again

Cause: monkey_patch(thread=True) patches nothing but threads, since eventlet patches the other modules only if no keyword is true. Each long poll of a reader stopped all its tasks: /readyz took 1.4 to 2.2 s at the four readers, the connect 0.0 s, and SIGABRT during such a wait showed recv_into under adapters.PlatformClient._get. Peers took the readers for suspect, and leases were late. A sidecar passes thread=False and was not affected.

Change: ask for all modules by name, with threads or without.

Without it test_sockets_and_sleeps_are_cooperative[True] fails.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -121,7 +121,8 @@
     warnings.filterwarnings("ignore", message="\\nEventlet is deprecated")
     import eventlet
 
-    eventlet.monkey_patch(thread=locks)
+    # Without all=True, thread=True would leave sockets and sleeps blocking.
+    eventlet.monkey_patch(all=True, thread=locks)
 
 
 def _select_command(arguments: list[str]) -> dict[str, Any]:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -53,3 +53,22 @@
     )
     assert "eventlet" in loaded
     assert "dns" not in loaded
+
+
+@pytest.mark.parametrize("locks", [True, False])
+def test_sockets_and_sleeps_are_cooperative(locks):
+    """Guards against a long poll that blocks all tasks of a node."""
+    code = (
+        "from hickorythread import cli\n"
+        f"cli._patch_standard_library(locks={locks})\n"
+        "from eventlet import patcher\n"
+        "names = 'socket', 'select', 'time', 'thread'\n"
+        "print(*map(patcher.is_monkey_patched, names))"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert result.stdout.split() == ["True"] * 3 + [str(locks)]
