Run make demo with sidecars

Cause: make demo showed only the older node. No test ran it, so that it failed unnoticed for as long as the sockets of nodes blocked.

The demo of the older node stays as make demo-nodes, with the same expectations.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SECONDS ?= 120
 HOSTS ?= 4
 
-.PHONY: demo test bench report fuzz soak soak-sidecars binary format lint typecheck unit clean
+.PHONY: demo demo-nodes test bench report fuzz soak soak-sidecars binary format lint typecheck unit clean
 
 $(VENV)/.ready: requirements-dev.lock
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -17,7 +17,10 @@
 	touch $@
 
 demo: $(VENV)/.ready
-	$(PY) tools/demo.py --deployment $(DEPLOYMENT)
+	$(PY) -m tools.demo
+
+demo-nodes: $(VENV)/.ready
+	$(PY) -m tools.demo_nodes --deployment $(DEPLOYMENT)
 
 test: lint typecheck unit
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -19,7 +19,7 @@
 import eventlet
 
 from hickorythread import standins
-from tools import demo
+from tools import demo_nodes
 from tools import fleet
 from tools import generate_examples
 
@@ -279,7 +279,9 @@
             for route in self.deployment["routes"]
         }
         templates = standins.REQUEST_TEMPLATES[deployment]
-        self.load = demo.Load(self.layout, templates, home_regions_by_path)
+        self.load = demo_nodes.Load(
+            self.layout, templates, home_regions_by_path
+        )
         self.faults = Faults(self, seed)
         self.version = 0
         self.recovery_seconds = 0.0
@@ -475,7 +477,7 @@
     program = fleet.find_program()
     if options.program:
         program = shlex.split(options.program)
-    signal.signal(signal.SIGTERM, demo.exit_on_signal)
+    signal.signal(signal.SIGTERM, demo_nodes.exit_on_signal)
     names = [options.deployment]
     if options.deployment == "both":
         names = ["guild", "cooperative"]
