Decode the load that a target reports

The load header was dropped unread. Its figures, with the optional factor, are now part of TargetResponse; the header still reaches no client. Values of another form are ignored and counted as target_header_ignored. Only the first of a row is logged, since they differ in each response.

--- a/src/hickorythread/mesh/events.py
+++ b/src/hickorythread/mesh/events.py
@@ -88,6 +88,28 @@
         self.from_target = from_target
 
 
+class InstanceLoad(Record):
+    """Hold the load that a target reports in a response.
+
+    factor tells how long its work takes at the moment in percent of what is
+    normal, None if the target does not state it.
+    """
+
+    __slots__ = ("running", "waiting", "slots", "factor")
+
+    def __init__(
+        self,
+        running: int,
+        waiting: int,
+        slots: int,
+        factor: int | None = None,
+    ) -> None:
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.factor = factor
+
+
 class TargetResponse(Record):
     """Hold a complete response of the target on this host.
 
@@ -96,7 +118,9 @@
     the rest of its warm-up in seconds, None if it reports none. rate_limit is
     the number of requests per second that it accepts in total, None if it
     names none. leaving is True if it states that it is about to end.
-    unreadable holds the header lines whose value has the wrong form.
+    unreadable holds the lines of a rate limit whose value has the wrong form.
+    load is the load that it reports, None if it reports none, and
+    unreadable_load the lines that name it in the wrong form.
     """
 
     __slots__ = (
@@ -109,6 +133,8 @@
         "rate_limit",
         "leaving",
         "unreadable",
+        "load",
+        "unreadable_load",
     )
 
     def __init__(
@@ -122,6 +148,8 @@
         rate_limit: float | None = None,
         leaving: bool = False,
         unreadable: tuple[str, ...] = (),
+        load: InstanceLoad | None = None,
+        unreadable_load: tuple[str, ...] = (),
     ) -> None:
         self.status = status
         self.headers = headers
@@ -132,6 +160,8 @@
         self.rate_limit = rate_limit
         self.leaving = leaving
         self.unreadable = unreadable
+        self.load = load
+        self.unreadable_load = unreadable_load
 
 
 class Failure(Record):
--- a/src/hickorythread/mesh/target_notices.py
+++ b/src/hickorythread/mesh/target_notices.py
@@ -21,6 +21,9 @@
     registered by what may be another process, None if it is not. starts
     counts the requests that started since the limit last changed, and
     unreadable holds the lines of the last response that could not be read.
+    load_unreadable is True while the target reports its load in a form that
+    cannot be read. The lines differ each time, so that only the first of
+    them is logged.
     """
 
     __slots__ = (
@@ -30,6 +33,7 @@
         "successor_since",
         "starts",
         "unreadable",
+        "load_unreadable",
     )
 
     def __init__(self) -> None:
@@ -43,6 +47,7 @@
         self.successor_since: float | None = None
         self.starts = 0
         self.unreadable: tuple[str, ...] = ()
+        self.load_unreadable = False
 
     def successor_registered(self, now: float) -> bool:
         """Record that the id may belong to another process; return if new."""
@@ -79,6 +84,7 @@
         asked_at is the time at which the request of the response was sent.
         """
         logs = self._record_unreadable(response, instance)
+        logs += self._record_unreadable_load(response, instance)
         if self._says_limit(response, source, asked_at):
             logs += self._record_limit(response.rate_limit, instance, source)
         if response.rate_limit is not None:
@@ -103,6 +109,19 @@
             for line in response.unreadable
         ]
 
+    def _record_unreadable_load(
+        self, response: events.TargetResponse, instance: str
+    ) -> list[events.Record]:
+        lines = response.unreadable_load
+        is_new = bool(lines) and not self.load_unreadable
+        self.load_unreadable = bool(lines)
+        if not is_new:
+            return []
+        return [
+            events.Log("target_header_ignored", instance=instance, line=line)
+            for line in lines
+        ]
+
     def _says_limit(
         self, response: events.TargetResponse, source: str, asked_at: float
     ) -> bool:
--- a/src/hickorythread/platform/headers.py
+++ b/src/hickorythread/platform/headers.py
@@ -19,6 +19,8 @@
 SIGNATURE = "hickorythread-server-stamp"
 NOT_RUN = "hickorythread-not-executed"
 TARGET_ID = "hickorythread-instance-id"
+# Running and waiting requests, slots and, if the target shares its host, how
+# long work takes there at the moment in percent of what is normal.
 TARGET_LOAD = "hickorythread-instance-load"
 # Milliseconds until the target is warm, in health responses only.
 WARMUP_MS = "hickorythread-warmup-ms"
@@ -42,6 +44,10 @@
 _MAX_MS = 600_000
 # A binary fraction that is written out in full has more than 50 digits.
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,64})?")
+_LOAD = re.compile(r"[0-9]{1,6}(?:[ \t]*,[ \t]*[0-9]{1,6}){2,3}")
+# Work that takes a tenth or 100 times as long is not a credible factor.
+_MIN_FACTOR = 10
+_MAX_FACTOR = 10_000
 _MISDIRECTED_REQUEST = 421
 
 
@@ -112,6 +118,7 @@
         by_name = {name.lower(): value for name, value in fields}
         warmup = by_name.get(WARMUP_MS)
         rate_limit, unreadable = _parse_rate_limit(fields)
+        load, unreadable_load = _parse_load(fields)
         return events.TargetResponse(
             status,
             [
@@ -126,6 +133,8 @@
             rate_limit,
             by_name.get(LEAVING) == "1",
             unreadable,
+            load,
+            unreadable_load,
         )
 
     def response_headers(self, response: events.Response) -> list[Any]:
@@ -158,6 +167,22 @@
     return None, tuple(f"{RATE_LIMIT}: {value:.80}" for value in values)
 
 
+def _parse_load(
+    fields: list[Any],
+) -> tuple[events.InstanceLoad | None, tuple[str, ...]]:
+    """Return the reported load, and the lines that cannot be read."""
+    values = sorted(
+        {value for name, value in fields if name.lower() == TARGET_LOAD}
+    )
+    if len(values) == 1 and _LOAD.fullmatch(values[0]):
+        running, waiting, slots, *rest = map(int, values[0].split(","))
+        factor = rest[0] if rest else None
+        if factor is None or _MIN_FACTOR <= factor <= _MAX_FACTOR:
+            load = events.InstanceLoad(running, waiting, slots, factor)
+            return load, ()
+    return None, tuple(f"{TARGET_LOAD}: {value:.80}" for value in values)
+
+
 def _parse_milliseconds(text: str) -> float | None:
     """Convert milliseconds to seconds; None if invalid or out of range."""
     try:
