Learn the pace of targets and place requests by it

Targets of one service differ in speed, and a node knew this only from its own replies. The host of a target now learns its run times, entry nodes tell it what is usual, and the pace travels in the load list and in rare announcements. Placement counts a request by the pace, adds the additional wait of slow targets to the latency, leaves room in the home regions of restricted routes, and samples tiers of more than 512 targets.

--- a/src/hickorythread/mesh/admission.py
+++ b/src/hickorythread/mesh/admission.py
@@ -68,6 +68,8 @@
         self.warmup_ends_at = 0.0
         self.warmup: token_bucket.TokenBucket | None = None
         self.rate_limit: token_bucket.TokenBucket | None = None
+        # How much longer work takes at the moment than the latencies say.
+        self.slowdown = 1.0
         self.paused = True
 
     @property
@@ -152,6 +154,7 @@
             return True, None
         reason, wait = self.expected_wait(request.priority, now)
         latency = self.latencies.get(request.route, self.latency)
+        latency *= self.slowdown
         if wait > self._max_wait(request, latency, now):
             return False, self.refusal(reason, wait)
         if len(self.queue) >= MAX_QUEUE_PER_SLOT * self.slots:
@@ -177,7 +180,7 @@
     def expected_wait(self, priority: int, now: float) -> tuple[str, float]:
         """Return what a new request waits for, and the expected seconds."""
         ahead = sum(1 for entry in self.queue if entry[0] <= priority) + 1
-        wait = ahead * self.latency / self.slots
+        wait = ahead * self.latency * self.slowdown / self.slots
         if self.warmup is not None:
             wait = max(wait, ahead / self.warmup.rate)
         if self.rate_limit is not None:
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -141,6 +141,7 @@
         peer = self.placement.peer(host_id)
         if _is_load(message.load):
             peer.update_load(message.load, now, pending.route.name)
+            self._note_run_time(pending, message.load)
         self._close(pending)
         if message.body_length != len(message.body):
             return self._handle_unknown_outcome(pending, 502, "cut-reply", now)
@@ -209,7 +210,10 @@
         changed = peer.usable != message.usable
         peer.usable = message.usable
         if _is_load(message.load):
-            peer.update_load(message.load, now)
+            if message.reason == reasons.PACE:
+                peer.update_pace(message.load, now)
+            else:
+                peer.update_load(message.load, now)
         if message.reason == reasons.ENDING and message.instance:
             self.view.note_end(
                 message.instance, host_id, message.started_at_ms, ends.PEER
@@ -282,6 +286,7 @@
         if configuration is None or configuration is self.configuration:
             return
         self.configuration = configuration
+        self.placement.set_routes(configuration.routes)
         names = {route.name for route in configuration.routes}
         self.splitter.keep_only(names)
         self.origins.keep_only(names)
@@ -305,7 +310,10 @@
         peer.open_calls += 1
         peer.sent_since_report += 1
         self.calls.add(pending, pending.deadline + RESPONSE_MARGIN_SECONDS)
-        message = pending.make_forward(self.settings.service, now)
+        usual_ms = self.placement.usual_times.mean_ms(
+            pending.service, pending.route.name
+        )
+        message = pending.make_forward(self.settings.service, now, usual_ms)
         return [events.Send(target.host_id, message)]
 
     def _choose_target(
@@ -358,6 +366,15 @@
             held=len(self.view.pending_removals),
         )
 
+    def _note_run_time(
+        self, pending: pending_request.PendingRequest, load: list[int]
+    ) -> None:
+        """Store the run time of the route that a target states, if any."""
+        if len(load) > 6 and load[6] > 0:
+            self.placement.usual_times.record(
+                pending.service, pending.route.name, pending.host_id, load[6]
+            )
+
     def _note_end(
         self, pending: pending_request.PendingRequest, target_id: str
     ) -> None:
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -8,6 +8,7 @@
 from hickorythread import messages as base_messages
 from hickorythread import quarantine
 from hickorythread.mesh import admission
+from hickorythread.mesh import capacity
 from hickorythread.mesh import ends
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
@@ -22,6 +23,9 @@
 DEFAULT_SLOTS = 4
 DEFAULT_HEALTH_PATH = "/healthz"
 MAX_FINISHED_CALLS = 4096
+# A response with such a status may come without any work.
+MIN_ERROR_STATUS = 400
+MAX_USUAL_MS = 600_000
 # A target that is warming up gets only this part of the excess that the
 # settings allow over its warm-up rate. Starts that reach it in bunches then
 # still stay within the limit.
@@ -34,7 +38,8 @@
     """Hold an accepted call until its outcome is known.
 
     run_id is 0 while the call is queued. instance and target_started_at_ms
-    tell which process the call was started at.
+    tell which process the call was started at, and cold whether that process
+    was warming up.
     """
 
     __slots__ = (
@@ -46,6 +51,7 @@
         "started_at",
         "instance",
         "target_started_at_ms",
+        "cold",
         "cancelled",
     )
 
@@ -64,6 +70,7 @@
         self.started_at = 0.0
         self.instance = ""
         self.target_started_at_ms = 0
+        self.cold = False
         self.cancelled = False
 
 
@@ -102,6 +109,9 @@
         self.interrupted_runs: list[Run] = []
         self.notices = target_notices.TargetNotices()
         self.doubt = target_doubt.TargetDoubt()
+        self.capacity = capacity.ObservedCapacity()
+        # The pace of the last tick.
+        self.pace = 0
 
     @property
     def idle(self) -> bool:
@@ -140,6 +150,7 @@
             now + message.objective,
             deadline,
         )
+        self.admission.slowdown = self.capacity.slowdown(now)
         runs, refusal = self.admission.offer(slot_request, now)
         if refusal is not None:
             return self._refuse(run, refusal)
@@ -191,6 +202,7 @@
             actions = self._note_response(
                 response, target_notices.RESPONSE, run.started_at, now
             )
+            self._record_run(run, response, latency, now)
         if response.not_run:
             self.admission.release_slot()
             status = 503 if response.status < 500 else response.status
@@ -277,6 +289,7 @@
             )
         if result.instance and result.instance != self.instance:
             self.notices.reset()
+            self.capacity.reset()
             actions.append(
                 events.Log(
                     "target_instance",
@@ -336,7 +349,8 @@
         ending = self.notices.ending or self.is_replaced
         if self.probes.is_due(paused, ending, now):
             actions += self._probe(now)
-        return actions + self._start_next(now) + self._announce(now)
+        actions += self._start_next(now) + self._announce(now)
+        return actions + self._announce_pace(now)
 
     def view_changed(
         self, domain_restored: bool, now: float
@@ -457,14 +471,33 @@
                 source,
             )
         self.admission.set_rate_limit(self.notices.rate_limit, now)
+        if response.load is not None and response.load.factor is not None:
+            self.capacity.record_factor(response.load.factor, now)
         return logs + self._announce(now) if logs else []
 
+    def _record_run(
+        self,
+        run: Run,
+        response: events.TargetResponse,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Learn how long a run took, unless it says nothing of the speed."""
+        if run.cold or response.not_run or response.status >= MIN_ERROR_STATUS:
+            return
+        usual_ms = min(max(run.call.usual_ms, 0), MAX_USUAL_MS)
+        factor = response.load.factor if response.load else None
+        self.capacity.record_run(
+            run.call.route, seconds, usual_ms / 1000.0, factor, now
+        )
+
     def _start(self, run: Run, now: float) -> list[events.Record]:
         self.last_run_id += 1
         run.run_id = self.last_run_id
         run.started_at = now
         run.instance = self.instance
         run.target_started_at_ms = self._started_at_ms()
+        run.cold = now < self.warmup_ends_at
         self.runs[run.run_id] = run
         self.running_retries += run.call.repeat
         self.notices.starts += 1
@@ -533,9 +566,21 @@
             0,
             reason,
             0.0,
-            self.admission.load(run.call.route),
+            self._load(run.call.route),
         )
 
+    def _load(self, route: str = "") -> list[int]:
+        """Return what peers know of the load and the speed of the target.
+
+        Without a route it holds no run time; without a known speed it is as
+        nodes of earlier releases send it.
+        """
+        load = self.admission.load(route)
+        run_time_ms = round(self.capacity.run_time(route) * 1000.0)
+        if run_time_ms:
+            return [*load, self.pace, run_time_ms]
+        return [*load, self.pace] if self.pace else load
+
     def _report_crash(self, run: Run, now: float) -> list[events.Record]:
         """Record and broadcast a request whose target may have crashed."""
         digest = _fingerprint(run.call)
@@ -622,18 +667,46 @@
         if state == self.announced_state:
             return []
         self.announced_state = state
-        message = messages.TargetState(
+        return [
+            events.Broadcast(self._make_state(not reason, reason)),
+            events.Log("target_state", usable=not reason, reason=reason),
+        ]
+
+    def _announce_pace(self, now: float) -> list[events.Record]:
+        """Broadcast the pace of the target if it has changed for good."""
+        self.pace = self.capacity.pace(now)
+        if self._unavailable_reason():
+            return []
+        previous = self.capacity.announced
+        pace = self.capacity.take_change(now)
+        if not pace:
+            return []
+        return [
+            events.Broadcast(self._make_state(True, reasons.PACE)),
+            events.Log(
+                "target_pace",
+                instance=self.instance,
+                pace=pace,
+                previous=previous,
+            ),
+        ]
+
+    def _make_state(self, usable: bool, reason: str) -> messages.TargetState:
+        return messages.TargetState(
             self.settings.service,
-            not reason,
+            usable,
             reason,
-            self.admission.load(),
+            self._load(),
             self.instance,
             self._started_at_ms(),
         )
-        return [
-            events.Broadcast(message),
-            events.Log("target_state", usable=not reason, reason=reason),
-        ]
+
+    def pace_status(self, now: float) -> dict[str, float | None]:
+        """Return the pace, None if it is not known, and its age."""
+        if not self.pace:
+            return {"percent": None, "age_seconds": None}
+        age = round(self.capacity.age(now), 3)
+        return {"percent": self.pace, "age_seconds": age}
 
     def state(self) -> messages.TargetState:
         """Return the announcement to send to a newly connected node."""
@@ -642,14 +715,7 @@
             if self.announced_state
             else reasons.TARGET_DOWN
         )
-        return messages.TargetState(
-            self.settings.service,
-            not reason,
-            reason,
-            self.admission.load(),
-            self.instance,
-            self._started_at_ms(),
-        )
+        return self._make_state(not reason, reason)
 
     def _log(
         self, event: str, call: messages.Forward, **values: Any
--- a/src/hickorythread/mesh/messages.py
+++ b/src/hickorythread/mesh/messages.py
@@ -18,7 +18,8 @@
 
     remaining is the time until the deadline and objective the time until the
     response misses the latency objective, both in seconds. Priority 0 is the
-    highest.
+    highest. usual_ms is the mean run time of the route over the targets that
+    the sender knows, 0 if it is not known.
     """
 
     __slots__ = (
@@ -36,10 +37,11 @@
         "priority",
         "caller_service",
         "repeat",
+        "usual_ms",
     )
     code = 40
-    # Nodes of earlier releases send no repeat field.
-    defaults = (False,)
+    # Nodes of earlier releases send neither field.
+    defaults = (False, 0)
     types = (
         int,
         str,
@@ -55,6 +57,7 @@
         int,
         str,
         bool,
+        int,
     )
 
     def __init__(
@@ -73,6 +76,7 @@
         priority: int,
         caller_service: str,
         repeat: bool = False,
+        usual_ms: int = 0,
     ) -> None:
         self.call_id = call_id
         self.request_id = request_id
@@ -88,15 +92,17 @@
         self.priority = priority
         self.caller_service = caller_service
         self.repeat = repeat
+        self.usual_ms = usual_ms
 
 
 class TargetState(messages.Message):
     """Announce whether the target on the sender's host accepts requests.
 
-    load holds the running and queued requests, the limit, a latency in ms and
-    1 under a rate limit, else 0. instance is the id of the target, empty if
-    it is not known, and started_at_ms the Unix time of its start, 0 if that
-    is not known.
+    load holds the running and queued requests, the limit, a latency in ms, 1
+    under a rate limit, else 0, the pace in percent, 0 if it is not known, and
+    a run time in ms. If reason is "pace", only the pace is news. instance is
+    the id of the target, empty if it is not known, and started_at_ms the Unix
+    time of its start, 0 if that is not known.
     """
 
     __slots__ = (
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -709,6 +709,7 @@
             "failing": sorted(self.synchronizer.failing_topics),
             "instance": self.execution.instance,
             "load": self.execution.admission.load(),
+            "pace": self.execution.pace_status(self.clock.monotonic()),
         }
 
     def render_metrics(self) -> bytes:
--- a/src/hickorythread/mesh/pending_request.py
+++ b/src/hickorythread/mesh/pending_request.py
@@ -65,9 +65,12 @@
         return bool(self.runs or self.rejections)
 
     def make_forward(
-        self, caller_service: str, now: float
+        self, caller_service: str, now: float, usual_ms: int = 0
     ) -> messages.Forward:
-        """Return the message that sends the request to its target."""
+        """Return the message that sends the request to its target.
+
+        usual_ms is the usual run time of the route, 0 if it is not known.
+        """
         request = self.request
         route = self.route
         objective = request.received_at + route.objective - now
@@ -86,4 +89,5 @@
             route.priority,
             caller_service,
             self.sent_to_target,
+            usual_ms,
         )
--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -2,9 +2,11 @@
 
 import collections
 from collections.abc import Collection
+from collections.abc import Iterator
 import math
 
 from hickorythread import interfaces
+from hickorythread.mesh import capacity
 from hickorythread.mesh import models
 
 # Costs of distance, as a share of a target's limit: a nearer target is
@@ -24,6 +26,24 @@
 LOAD_HALF_LIFE_SECONDS = 1.0
 UNKNOWN_LOAD_SHARE = 0.4
 JITTER = 0.05
+# A target that gets no requests because of its pace is tried again once the
+# pace has faded.
+PACE_HALF_LIFE_SECONDS = 10.0
+# A full service needs its slow targets too, so that placement takes no target
+# for faster or slower than this.
+MIN_PACE_RATIO = 0.5
+MAX_PACE_RATIO = 2.0
+# Targets in home regions of other routes cost this much more per share of the
+# limit in use beyond this share. They keep most of their preference over those
+# of other regions, since bytes between regions cost most.
+ROOM_LOAD_SHARE = 0.5
+ROOM_WEIGHT = 1.0
+# A choice looks at all targets of a small tier. The best of a random sample
+# is nearly as good in a large one, and nodes with the same reports choose
+# different targets.
+MAX_WHOLE_TIER = 512
+SAMPLE_TARGETS = 64
+MAX_SAMPLED_TARGETS = 512
 # How long a node takes its word for it that the rate limit of a target is
 # spent. The wait that a refusal names may be longer, but other nodes may send
 # less by then.
@@ -41,7 +61,8 @@
     calls without a reply. rate_limited is True if the target names a rate
     limit. Until rate_refused_until, it has no starts left under that limit
     for requests that are not more urgent than rate_refused_priority; the next
-    start for them is expected at rate_start_at, which may be later.
+    start for them is expected at rate_start_at, which may be later. pace is
+    how long work takes there in percent of what is usual, known at pace_at.
     """
 
     __slots__ = (
@@ -51,6 +72,8 @@
         "reported_at",
         "sent_since_report",
         "open_calls",
+        "pace",
+        "pace_at",
         "failures",
         "failed_at",
         "route_latencies",
@@ -69,6 +92,8 @@
         self.reported_at = -math.inf
         self.sent_since_report = 0
         self.open_calls = 0
+        self.pace = capacity.USUAL_PACE
+        self.pace_at = -math.inf
         self.failures = 0.0
         self.failed_at = 0.0
         self.route_latencies: dict[str, tuple[float, float]] = {}
@@ -87,15 +112,32 @@
         if route and len(load) > 3:
             self.route_latencies[route] = (load[3] / 1000.0, now)
         self.rate_limited = len(load) > 4 and load[4] > 0
+        self.update_pace(load, now)
         self.load = float(running + waiting)
         self.limit = max(1, limit)
         self.reported_at = now
         self.sent_since_report = 0
 
+    def update_pace(self, load: list[int], now: float) -> None:
+        """Store the pace in a load list, if it holds one."""
+        if len(load) > 5 and load[5] > 0:
+            pace = max(load[5], capacity.MIN_PACE)
+            self.pace = min(pace, capacity.MAX_PACE)
+            self.pace_at = now
+
+    def pace_ratio(self, now: float) -> float:
+        """Return how long work takes, 1.0 if as usual or not known."""
+        if self.pace == capacity.USUAL_PACE:
+            return 1.0
+        weight = math.exp2((self.pace_at - now) / PACE_HALF_LIFE_SECONDS)
+        ratio = 1.0 + weight * (self.pace / capacity.USUAL_PACE - 1.0)
+        return min(max(ratio, MIN_PACE_RATIO), MAX_PACE_RATIO)
+
     def expected_load(self, slots: int, now: float) -> float:
         """Return the running and queued requests, estimated from a report."""
         limit = self.limit or slots
-        prior = UNKNOWN_LOAD_SHARE * limit
+        # The same arrivals keep more slots of a slow target in use.
+        prior = UNKNOWN_LOAD_SHARE * limit * self.pace_ratio(now)
         age = now - self.reported_at
         report_weight = math.exp2(-age / LOAD_HALF_LIFE_SECONDS)
         estimate = report_weight * self.load + (1.0 - report_weight) * min(
@@ -127,12 +169,25 @@
             and priority >= self.rate_refused_priority
         )
 
-    def excess_latency(self, route: models.Route, now: float) -> float:
+    def excess_latency(
+        self,
+        route: models.Route,
+        now: float,
+        usual: float = 0.0,
+        waiting: float = 0.0,
+    ) -> float:
         """Return the latency above the limit as a share of the objective.
 
-        The value decays exponentially with the age of the measurement.
+        The value decays exponentially with the age of the measurement. usual
+        is the usual run time of the route, and waiting how many times the
+        limit waits. The load stands for the usual wait, so that only the
+        additional one for a slow target is part of the latency.
         """
+        pace = self.pace_ratio(now)
         latency, measured_at = self.route_latencies.get(route.name, (0.0, now))
+        if pace > 1.0:
+            latency = latency or usual * pace
+            latency += waiting * latency * (1.0 - 1.0 / pace)
         excess = latency / route.objective - SLOW_OBJECTIVE_SHARE
         if excess <= 0.0:
             return 0.0
@@ -161,6 +216,10 @@
         self.random_source = random_source
         self.peers: dict[str, PeerState] = {}
         self.connected: set[str] = {host_id}
+        self.usual_times = capacity.UsualTimes()
+        # The regions outside of which some routes to a service cannot go,
+        # for services with other routes that can.
+        self.home_regions: dict[str, frozenset[str]] = {}
         self.tiers: dict[
             int,
             tuple[
@@ -194,17 +253,42 @@
             if best_score <= distance:
                 # No score is below the cost of the distance.
                 break
-            for target in tier:
-                if not self.usable(target, route, evacuated, now):
-                    continue
-                if target.host_id in excluded:
-                    continue
+            for target in self._candidates(
+                tier, route, evacuated, excluded, now
+            ):
                 score = distance + self.score(target, route, now)
                 score += JITTER * self.random_source.random()
                 if score < best_score:
                     best, best_score = target, score
         return best
 
+    def _candidates(
+        self,
+        tier: list[models.Target],
+        route: models.Route,
+        evacuated: frozenset[str],
+        excluded: Collection[str],
+        now: float,
+    ) -> Iterator[models.Target]:
+        """Return the usable targets of a tier, of a large one some of them.
+
+        All targets of a large tier are looked at only while none is usable.
+        """
+        size = len(tier)
+        is_large = size > MAX_WHOLE_TIER
+        start = int(self.random_source.random() * size) if is_large else 0
+        found = 0
+        for looked_at in range(size):
+            if is_large and found:
+                if found >= SAMPLE_TARGETS or looked_at >= MAX_SAMPLED_TARGETS:
+                    return
+            target = tier[(start + looked_at) % size]
+            if target.host_id in excluded:
+                continue
+            if self.usable(target, route, evacuated, now):
+                found += 1
+                yield target
+
     def _tiers(
         self, targets: Collection[models.Target]
     ) -> list[tuple[float, list[models.Target]]]:
@@ -326,10 +410,45 @@
         """Return the cost of the state of a target, without its distance."""
         peer = self.peer(target.host_id)
         limit = peer.limit or target.slots
-        load = (peer.expected_load(target.slots, now) + 1) / limit
+        pace = peer.pace_ratio(now)
+        load = (peer.expected_load(target.slots, now) + pace) / limit
+        waiting = max(0.0, load - 1.0)
         failures = FAILURE_WEIGHT * peer.failure_rate(now)
-        latency_penalty = SLOW_WEIGHT * peer.excess_latency(route, now)
-        return load + failures + latency_penalty
+        usual_ms = self.usual_times.mean_ms(target.service, route.name)
+        latency_penalty = SLOW_WEIGHT * peer.excess_latency(
+            route, now, usual_ms / 1000.0, waiting
+        )
+        room = self._room_cost(target, route, load)
+        return load + failures + latency_penalty + room
+
+    def _room_cost(
+        self, target: models.Target, route: models.Route, load: float
+    ) -> float:
+        """Return the cost of taking room that restricted routes need."""
+        if route.home_regions or target.service not in self.home_regions:
+            return 0.0
+        region = self.regions.get(target.failure_domain, "")
+        if region not in self.home_regions[target.service]:
+            return 0.0
+        return ROOM_WEIGHT * max(0.0, load - ROOM_LOAD_SHARE)
+
+    def set_routes(self, routes: Collection[models.Route]) -> None:
+        """Learn for which services restricted routes need room."""
+        restricted: dict[str, set[str]] = {}
+        unrestricted: set[str] = set()
+        for route in routes:
+            for service, _ in route.destinations:
+                if route.home_regions:
+                    regions = restricted.setdefault(service, set())
+                    regions.update(route.home_regions)
+                else:
+                    unrestricted.add(service)
+        self.home_regions = {
+            service: frozenset(regions)
+            for service, regions in restricted.items()
+            if service in unrestricted
+            and not regions.issuperset(self.regions.values())
+        }
 
     def distance(self, target: models.Target) -> float:
         """Return the cost of the distance to a target."""
@@ -346,6 +465,7 @@
 
     def keep_only(self, host_ids: set[str]) -> None:
         """Drop the state of hosts without a target and without open calls."""
+        self.usual_times.keep_only(host_ids)
         for host_id in self.peers.keys() - host_ids - {self.host_id}:
             if not self.peers[host_id].open_calls:
                 del self.peers[host_id]
--- a/src/hickorythread/mesh/reasons.py
+++ b/src/hickorythread/mesh/reasons.py
@@ -42,5 +42,8 @@
 OTHER_INSTANCE = "other-instance"
 REJECTED = frozenset((SHED, OTHER_INSTANCE))
 
+# An announcement of a target that only tells its pace.
+PACE = "pace"
+
 # A task of this process failed, or a broken invariant ends it.
 DEFECT = "defect"
