--- a/src/hickorythread/mesh/telemetry.py
+++ b/src/hickorythread/mesh/telemetry.py
@@ -14,7 +14,6 @@
 MAX_ROUTES = 64
 MAX_SERVICES = 32
 OTHER_LABEL = "other"
-QUOTA_REFUSALS = "quota_refusals"
 
 
 class Telemetry:
@@ -75,14 +74,11 @@
         return self.metrics.render()
 
     def _set_quota_gauges(self, plane: entry.EntryPlane) -> None:
-        for key in list(self.metrics.gauges):
-            if key[0] == QUOTA_REFUSALS:
-                # The most active accounts change.
-                del self.metrics.gauges[key]
+        self.metrics.drop("quota_refusals")
+        # The most active accounts change.
         for name, count in plane.quotas.most_refused().items():
-            self.metrics.set(
-                QUOTA_REFUSALS, count, account=name or OTHER_LABEL
-            )
+            label = name or OTHER_LABEL
+            self.metrics.set("quota_refusals", count, account=label)
 
     def _set_memory_gauges(self, memory: memory_budget.MemoryBudget) -> None:
         self.metrics.set("memory_used_bytes", memory.used)
--- a/src/hickorythread/metrics.py
+++ b/src/hickorythread/metrics.py
@@ -83,6 +83,11 @@
         """Set a gauge."""
         self.gauges[name, tuple(labels.items())] = value
 
+    def drop(self, name: str) -> None:
+        """Drop a gauge with all its labels."""
+        for key in [key for key in self.gauges if key[0] == name]:
+            del self.gauges[key]
+
     def duration(self, name: str, **labels: str) -> DurationRecorder:
         """Return the recorder of a duration; callers should keep it."""
         key = (name, tuple(labels.items()))
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -245,6 +245,16 @@
     assert not decoder.failed
 
 
+def test_new_owner_begins_with_a_quarter_of_the_burst():
+    """Guards against a full burst from each owner in turn."""
+    fleet = make_fleet(1)
+    owner = fleet.owner("big").client.owner
+    request = messages.QuotaRequest(1, [["big", 500, 0, 0, True]])
+    owner.tick(10.0)
+    (entry,) = owner.request("10.0.0.9", request, 10.0).entries
+    assert entry[1] == int(135 / 4)
+
+
 def test_only_the_most_active_accounts_are_counted_by_name():
     """Guards against metrics that grow with the accounts."""
     client = quotas.QuotaClient("10.0.0.1", quota_fleet.random.Random(1))
