--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -10,7 +10,7 @@
 from tests import mesh_builders as build
 from tests import quota_fleet
 
-SEEDS = (1, 2)
+SEEDS = (1, 2, 7, 12)
 FAULTS = {
     "none": lambda fleet: None,
     "lost": lambda fleet: fleet.lose(fleet.owner("big")),
