--- a/src/hickorythread/mesh/settings.py
+++ b/src/hickorythread/mesh/settings.py
@@ -22,9 +22,7 @@
     warmup_burst requests. The removal of a target must be in force within
     removal_ms. The process is ended from outside if it uses more than
     memory_mb MiB. A key that was withdrawn must be refused after
-    revocation_ms on every host, 0 if there is no such bound. In any
-    quota_window_seconds, a client account gets at most the fraction
-    quota_excess_share and quota_slack requests beyond its quota.
+    revocation_ms on every host, 0 if there is no such bound.
     """
 
     __slots__ = (
@@ -48,9 +46,6 @@
         "removal_ms",
         "memory_mb",
         "revocation_ms",
-        "quota_window_seconds",
-        "quota_excess_share",
-        "quota_slack",
         "log_level",
     )
 
@@ -75,9 +70,6 @@
         removal_ms: float = 2000.0,
         memory_mb: float = DEFAULT_MEMORY_MB,
         revocation_ms: float = 0.0,
-        quota_window_seconds: float = 5.0,
-        quota_excess_share: float = 0.0,
-        quota_slack: float = 0.0,
         name: str = "",
         log_level: str = "info",
     ) -> None:
@@ -101,9 +93,6 @@
         self.removal_ms = removal_ms
         self.memory_mb = memory_mb
         self.revocation_ms = revocation_ms
-        self.quota_window_seconds = quota_window_seconds
-        self.quota_excess_share = quota_excess_share
-        self.quota_slack = quota_slack
         self.log_level = log_level
 
     @property
--- a/src/hickorythread/mesh/settings_file.py
+++ b/src/hickorythread/mesh/settings_file.py
@@ -25,9 +25,6 @@
     "warmup_rate_factor",
     "warmup_burst",
     "revocation_ms",
-    "quota_window_seconds",
-    "quota_excess_share",
-    "quota_slack",
 )
 
 # A file that is being replaced may be missing, empty or cut at the start.
--- a/src/hickorythread/mesh/telemetry.py
+++ b/src/hickorythread/mesh/telemetry.py
@@ -70,8 +70,16 @@
                 tokens,
                 service=_bounded_label(service, self.services, MAX_SERVICES),
             )
+        self._set_quota_gauges(entry_plane)
         return self.metrics.render()
 
+    def _set_quota_gauges(self, plane: entry.EntryPlane) -> None:
+        self.metrics.drop("quota_refusals")
+        # The most active accounts change.
+        for name, count in plane.quotas.most_refused().items():
+            label = name or OTHER_LABEL
+            self.metrics.set("quota_refusals", count, account=label)
+
     def _set_memory_gauges(self, memory: memory_budget.MemoryBudget) -> None:
         self.metrics.set("memory_used_bytes", memory.used)
         self.metrics.set("memory_budget_bytes", memory.capacity)
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -242,4 +242,4 @@
     bounds = {"strict_revoke": strict, "revoke_ms": 5000, "quota_slack": 20}
     document = platform_settings.translate({"name": "a", "bounds": bounds})
     assert document.pop("revocation_ms", None) == expected
-    assert document == {"name": "a", "quota_slack": 20}
+    assert document == {"name": "a"}
