Shorten the time after a restart of everything

Targets that are cold got two thirds of the starts that their limit allows, and nodes without a configuration waited up to 1.2 s for one that a peer had already shown.

Change: cold targets start at 0.8 of the limit, most of it as a steady rate; a node without a version asks the peer nearby that shows one. Announcements of a pace stay in the region, for changes of a quarter, at most every 4 s.

--- a/src/hickorythread/mesh/capacity.py
+++ b/src/hickorythread/mesh/capacity.py
@@ -15,10 +15,10 @@
 # One run counts at most so many times the usual run time.
 MAX_RUN_RATIO = 8.0
 MAX_ROUTES = 1024
-CHANGE_SHARE = 0.15
+CHANGE_SHARE = 0.25
 # Shorter disturbances end before an announcement could have an effect.
 SUSTAINED_SECONDS = 1.0
-MIN_ANNOUNCE_SECONDS = 2.0
+MIN_ANNOUNCE_SECONDS = 4.0
 # A target reports its factor in every response, and the factor changes often.
 MAX_FACTOR_AGE_SECONDS = 1.0
 MAX_PACE_AGE_SECONDS = 30.0
--- a/src/hickorythread/mesh/events.py
+++ b/src/hickorythread/mesh/events.py
@@ -197,12 +197,18 @@
 
 
 class Broadcast(Record):
-    """Send a message to all connected nodes."""
+    """Send a message to all connected nodes, or to those nearby.
 
-    __slots__ = ("message",)
+    With in_region, only nodes of the own region receive it.
+    """
+
+    __slots__ = ("message", "in_region")
 
-    def __init__(self, message: base_messages.Message) -> None:
+    def __init__(
+        self, message: base_messages.Message, in_region: bool = False
+    ) -> None:
         self.message = message
+        self.in_region = in_region
 
 
 class Respond(Record):
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -26,10 +26,12 @@
 # A response with such a status may come without any work.
 MIN_ERROR_STATUS = 400
 MAX_USUAL_MS = 600_000
-# A target that is warming up gets only this part of the excess that the
-# settings allow over its warm-up rate. Starts that reach it in bunches then
-# still stay within the limit.
-WARMUP_EXCESS_SHARE = 0.5
+# A target that is warming up gets only this part of the requests a second that
+# the settings allow. Starts that reach it in bunches then still stay within
+# the limit.
+WARMUP_SHARE = 0.8
+# Part of these that may start in one bunch. The rest is a steady rate.
+WARMUP_BURST_SHARE = 0.15
 
 CallKey = tuple[str, int]
 
@@ -648,11 +650,13 @@
         service = self.service
         if service is None or service.warmup_rate <= 0:
             return
-        excess = WARMUP_EXCESS_SHARE * (self.settings.warmup_rate_factor - 1)
-        burst = WARMUP_EXCESS_SHARE * self.settings.warmup_burst
-        self.admission.start_warmup(
-            seconds, service.warmup_rate * (1 + excess), max(1.0, burst), now
+        most = WARMUP_SHARE * (
+            service.warmup_rate * self.settings.warmup_rate_factor
+            + self.settings.warmup_burst
         )
+        burst = max(1.0, WARMUP_BURST_SHARE * most)
+        rate = max(service.warmup_rate, most - burst)
+        self.admission.start_warmup(seconds, rate, burst, now)
 
     def _announce(self, now: float) -> list[events.Record]:
         """Broadcast changes of the target's availability and warm-up."""
@@ -682,7 +686,8 @@
         if not pace:
             return []
         return [
-            events.Broadcast(self._make_state(True, reasons.PACE)),
+            # Others learn it from replies: bytes between regions are dear.
+            events.Broadcast(self._make_state(True, reasons.PACE), True),
             events.Log(
                 "target_pace",
                 instance=self.instance,
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -456,6 +456,8 @@
             peer = self.entry.placement.peer(self.settings.host_id)
             peer.usable = action.message.usable
         for host_id in list(self.streams.by_host):
+            if action.in_region and not self.synchronizer.is_near(host_id):
+                continue
             self.streams.send(host_id, action.message)
 
     def _respond(self, action: events.Respond) -> None:
--- a/src/hickorythread/mesh/synchronizer.py
+++ b/src/hickorythread/mesh/synchronizer.py
@@ -121,11 +121,11 @@
         # be relayed.
         self.relay_until = 0.0
         self.relays_fresh = False
-        self.relayed_at = 0.0
+        self.relayed_at = -math.inf
         self.newer_views = newer_views.NewerViews(view)
         self.checks = view_checks.ViewChecks(random_source, now)
         self.proofs = {topic: proofs.TopicProof(now) for topic in PROOF_TOPICS}
-        self.requested_at = 0.0
+        self.requested_at = -math.inf
 
     # Handler of the watchers.
 
@@ -413,6 +413,11 @@
         """Remove a node that is no longer connected."""
         self.peer_domains.pop(host_id, None)
 
+    def is_near(self, host_id: str) -> bool:
+        """Return whether a connected node is in the region of this one."""
+        domain = self.peer_domains.get(host_id, "")
+        return self.settings.regions.get(domain) == self.settings.region
+
     def notice_received(
         self, host_id: str, notice: messages.ViewNotice
     ) -> None:
@@ -479,12 +484,23 @@
         return exchange.knows_more(self.view, notice)
 
     def version_seen(self, host_id: str, version: int) -> None:
-        """Record the version a peer holds if it is newer than this node's."""
+        """Record the version a peer holds if it is newer than this node's.
+
+        A node that has no version yet asks a peer nearby at once.
+        """
+        now = self.clock.monotonic()
+        if (
+            version
+            and not self.view.version
+            and self.is_near(host_id)
+            and now - self.requested_at >= MIN_REQUEST_INTERVAL_SECONDS
+        ):
+            self._request_view(host_id, now)
+            return
         lag = SHARED_MAX_LAG_SECONDS
         if not self.reader_selection.shared:
             lag = MAX_LAG_SECONDS
-        due = self.clock.monotonic() + lag
-        self.newer_views.version_seen(host_id, version, due)
+        self.newer_views.version_seen(host_id, version, now + lag)
 
     def make_view_reply(
         self, request: messages.ViewRequest
@@ -524,7 +540,7 @@
             )
         self._view_updated(previously_evacuated)
         if now < self.relay_until:
-            self.relay_until = self.relayed_at = 0.0
+            self.relay_until = self.relayed_at = -math.inf
             self._relay_notice(self.relays_fresh, now)
         return None
 
--- a/tests/test_mesh_planes.py
+++ b/tests/test_mesh_planes.py
@@ -389,6 +389,29 @@
     assert len(starts) >= 16 * 2
 
 
+def test_cold_target_gets_most_of_what_it_may_get():
+    """Guards against a restart of everything that takes seconds longer.
+
+    All targets are cold then, and their limits are what requests wait for.
+    """
+    for rate, factor, burst in ((5, 1.5, 8), (16, 1.5, 5), (2, 1.0, 2)):
+        plane = build.make_execution()
+        plane.settings.warmup_rate_factor = factor
+        plane.settings.warmup_burst = burst
+        plane.service.warmup_rate = rate
+        plane._start_warmup(3.0, 0.0)
+        starts = [
+            step / 100
+            for step in range(300)
+            if plane.admission._may_start(step / 100)
+        ]
+        allowed = rate * factor + burst
+        most = max(
+            sum(begin <= at < begin + 1.0 for at in starts) for begin in starts
+        )
+        assert 0.7 * allowed <= most <= 0.95 * allowed, (rate, most, allowed)
+
+
 def test_only_a_confirmed_crash_makes_a_request_suspect():
     """Guards against quarantining requests whose responses were lost."""
     plane = build.make_execution()
--- a/tests/test_synchronizer.py
+++ b/tests/test_synchronizer.py
@@ -445,6 +445,19 @@
     assert exchange.make_reply(view, request, 0.0).configuration not in replies
 
 
+def test_version_spreads_at_once_when_all_nodes_start():
+    """Guards against nodes that refuse requests though peers know the routes.
+
+    All nodes have lost power, and the targets are still registered.
+    """
+    for size in (13, 40, 78):
+        regions = dict.fromkeys(LARGE_DOMAINS[:2], "north")
+        regions |= dict.fromkeys(LARGE_DOMAINS[2:], "south")
+        domain = view_domain.Domain(size, LARGE_DOMAINS, regions)
+        domain.run_for(0.35)
+        assert domain.lowest_version() == 1, size
+
+
 def test_start_of_a_mesh_takes_two_calls_of_each_node():
     """Guards against calls that grow with the nodes times the arrivals.
 
--- a/tests/view_domain.py
+++ b/tests/view_domain.py
@@ -168,9 +168,12 @@
         delay = MESSAGE_DELAY_SECONDS
         if receiver.region != self.region:
             delay += REGION_DELAY_SECONDS
-        self.domain.schedule(delay, receiver.receive, self.host_id, message)
+        self.domain.schedule(
+            delay, receiver.receive, self.host_id, message, self.view.version
+        )
 
-    def receive(self, sender, message):
+    def receive(self, sender, message, version):
+        """Handle a message; each one carries the version of its sender."""
         if isinstance(message, messages.ViewNotice):
             self.synchronizer.notice_received(sender, message)
         elif isinstance(message, messages.ViewReply):
@@ -179,6 +182,7 @@
             reply = self.synchronizer.make_view_reply(message)
             if reply is not None:
                 self.send(sender, reply)
+        self.synchronizer.version_seen(sender, version)
 
     def check(self):
         """Do what the link check of a node does."""
