Explain where a sidecar would send a request

The command explain-route asks the metrics listener of one sidecar, which answers from the state of its entry plane without changing it. The older explain stays as it is: it asks nodes that have other accounts.

--- a/src/hickorythread/cli.py
+++ b/src/hickorythread/cli.py
@@ -400,6 +400,63 @@
     :param profile: profile file in JSON
     :param format: text or json
     """
+    method, path = _split_request(request)
+    client = profiles.read_options(profile, node=node).node_client()
+    response = publishing.call_node(
+        lambda: client.explain(method.upper(), path, tenant)
+    )
+    output.print_result(format, response, output.flatten(response))
+    return exit_codes.EXIT_OK
+
+
+def explain_route(
+    request: str,
+    *,
+    sidecar: str,
+    host: str,
+    account: str = "",
+    timeout: float | None = None,
+    format: output.Format = "text",
+) -> int:
+    """Show where a sidecar would send a request now, without sending it.
+
+    Exits with 0 if the sidecar responded, also if it would refuse the
+    request, 2 if the request or an option is malformed, 4 if the sidecar does
+    not respond.
+
+    :param request: method and path, for example "GET /specs/7"
+    :param sidecar: metrics address of the sidecar, IP:port
+    :param host: Host header of the request
+    :param account: name of the client account, not its key
+    :param timeout: seconds that the client allows for the request
+    :param format: text or json
+    """
+    from hickorythread import client
+    from hickorythread import explanation_text
+
+    method, path = _split_request(request)
+    values = {"host": host, "path": path, "method": method.upper()}
+    if account:
+        values["account"] = account
+    if timeout is not None:
+        values["timeout"] = str(timeout)
+    node_client = client.NodeClient([sidecar])
+
+    def ask() -> dict[str, Any]:
+        try:
+            return node_client.explain_route(values)
+        except client.RefusedError as error:
+            raise command_errors.CommandError(
+                exit_codes.EXIT_USAGE, str(error)
+            ) from error
+
+    response = publishing.call_node(ask)
+    output.print_result(format, response, explanation_text.lines(response))
+    return exit_codes.EXIT_OK
+
+
+def _split_request(request: str) -> tuple[str, str]:
+    """Return the method and the path of a request."""
     method, _, path = request.partition(" ")
     if not method.isalpha() or not path.startswith("/") or " " in path:
         raise command_errors.CommandError(
@@ -407,12 +464,7 @@
             f"invalid request {request!r}: expected METHOD and path, for "
             'example "GET /specs/7"',
         )
-    client = profiles.read_options(profile, node=node).node_client()
-    response = publishing.call_node(
-        lambda: client.explain(method.upper(), path, tenant)
-    )
-    output.print_result(format, response, output.flatten(response))
-    return exit_codes.EXIT_OK
+    return method, path
 
 
 def trace(request: str, *files: str, format: output.Format = "text") -> int:
@@ -552,6 +604,7 @@
     "domain": {"out": domain_out, "in": domain_in},
     "status": status,
     "explain": explain,
+    "explain-route": explain_route,
     "trace": trace,
     "standin": {
         "platform": standin_platform,
--- a/src/hickorythread/client.py
+++ b/src/hickorythread/client.py
@@ -54,6 +54,11 @@
         )
         return self._call("GET", f"/explain?{query}")
 
+    def explain_route(self, values: Mapping[str, Any]) -> models.Document:
+        """Return how the sidecar would route a request."""
+        query = urllib.parse.urlencode(values)
+        return self._call("GET", f"/explain?{query}")
+
     def check_patch(self, patch: models.Document) -> models.Document:
         """Return the verdict that the patch would get if published now."""
         return self._call("POST", "/patches/check", patch)
--- a/src/hickorythread/mesh/account_lease.py
+++ b/src/hickorythread/mesh/account_lease.py
@@ -65,9 +65,21 @@
         if not self.settings.revocation_ms:
             return True
         self._check_suspension(now)
+        return self._is_proven(now, self.trusted_from)
+
+    def would_hold(self, now: float) -> bool:
+        """Return what holds() would, without noting a suspension."""
+        if not self.settings.revocation_ms:
+            return True
+        trusted_from = self.trusted_from
+        if self._was_suspended(now):
+            trusted_from = now + SETTLING_SECONDS
+        return self._is_proven(now, trusted_from)
+
+    def _is_proven(self, now: float, trusted_from: float) -> bool:
         return (
             self.proof.age(now) <= self.seconds
-            and self.proof.proven_at >= self.trusted_from
+            and self.proof.proven_at >= trusted_from
         )
 
     def tick(self, now: float) -> list[events.Record]:
@@ -87,7 +99,10 @@
         ]
 
     def _check_suspension(self, now: float) -> None:
-        difference = self.boot_clock() - now
-        if difference - self.clock_difference >= SUSPENSION_SECONDS:
+        if self._was_suspended(now):
             self.trusted_from = now + SETTLING_SECONDS
-        self.clock_difference = difference
+        self.clock_difference = self.boot_clock() - now
+
+    def _was_suspended(self, now: float) -> bool:
+        difference = self.boot_clock() - now
+        return difference - self.clock_difference >= SUSPENSION_SECONDS
--- a/src/hickorythread/mesh/ingress.py
+++ b/src/hickorythread/mesh/ingress.py
@@ -9,6 +9,7 @@
 from hickorythread import memory_budget
 from hickorythread import server
 from hickorythread.mesh import events
+from hickorythread.mesh import explanation
 from hickorythread.mesh import reasons
 
 MAX_BODY_BYTES = 1_800_000
@@ -198,5 +199,18 @@
             return server.send_response(
                 start_response, 200, self.node.status()
             )
+        if environ["PATH_INFO"] == "/explain":
+            return self._explain(environ["QUERY_STRING"], start_response)
         metrics = self.node.render_metrics()
         return server.send_response(start_response, 200, metrics)
+
+    def _explain(
+        self, query: str, start_response: server.StartResponse
+    ) -> Iterable[bytes]:
+        try:
+            question = explanation.Question.from_query(query)
+        except explanation.InvalidQuestion as error:
+            message = {"error": str(error)}
+            return server.send_response(start_response, 400, message)
+        document = self.node.explain(question)
+        return server.send_response(start_response, 200, document)
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -34,6 +34,7 @@
 from hickorythread.mesh import events
 from hickorythread.mesh import exchange
 from hickorythread.mesh import execution
+from hickorythread.mesh import explanation
 from hickorythread.mesh import ingress
 from hickorythread.mesh import interfaces
 from hickorythread.mesh import links
@@ -730,6 +731,11 @@
             "pace": self.execution.pace_status(self.clock.monotonic()),
         }
 
+    def explain(self, question: explanation.Question) -> dict[str, Any]:
+        """Return where a request would go now and why."""
+        now = self.clock.monotonic()
+        return explanation.Explanation(self.entry, question, now).document()
+
     def render_metrics(self) -> bytes:
         """Return counters, gauges and durations as Prometheus text."""
         self.connections.set_gauges()
--- a/src/hickorythread/output.py
+++ b/src/hickorythread/output.py
@@ -63,7 +63,7 @@
         for domain, summary in sorted(domains.items()):
             rows.extend(_count_rows(region, domain, summary))
             laggards.extend(_laggard_lines(region, domain, summary))
-    return lines + _table(rows) + laggards
+    return lines + table(rows) + laggards
 
 
 def _count_rows(
@@ -91,7 +91,8 @@
     ]
 
 
-def _table(rows: list[Any]) -> list[str]:
+def table(rows: list[Any]) -> list[str]:
+    """Return lines of rows of texts with aligned columns."""
     widths = [
         max(len(row[column]) for row in rows) for column in range(len(rows[0]))
     ]
