Distrust the account lease after a freeze of the process

A process that was stopped for longer than its lease ran requests with withdrawn keys again as soon as it went on, for up to 3 s.

The kernel accepts and acknowledges the notices that peers send to a frozen process, so the time limit of the connection does not end it. Read after the freeze, such a notice counts from the time it is read, and its proof looked 0.3 s old instead of 20 s. Only suspensions of the host were noticed, since the two clocks differ only after these.

test_notices_read_after_a_freeze_prove_nothing failed before: the lease held at the first check after 20 s.

A second without a tick now counts like a suspension: only proofs from a second after it renew the lease. A shorter freeze adds at most a second to the age of a proof, which the rest of the bound covers.

--- a/src/hickorythread/mesh/account_lease.py
+++ b/src/hickorythread/mesh/account_lease.py
@@ -17,7 +17,10 @@
 LEASE_SHARE = 0.6
 # Difference of the clocks that shows that this host was suspended.
 SUSPENSION_SECONDS = 0.05
-# What arrived before a suspension is read within this time after it.
+# A process without a tick for this time was frozen. What a shorter freeze adds
+# to the age of a proof fits into the rest of the bound.
+FROZEN_SECONDS = 1.0
+# What arrived before a suspension or freeze is read within this time after it.
 SETTLING_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 0.5
 
@@ -34,6 +37,7 @@
         "proof",
         "boot_clock",
         "clock_difference",
+        "ticked_at",
         "trusted_from",
         "held",
     )
@@ -49,6 +53,8 @@
         self.proof = proof
         self.boot_clock = boot_clock
         self.clock_difference = boot_clock() - now
+        # Infinite until the first tick: a new process has no old messages.
+        self.ticked_at = math.inf
         # Proofs from before this time do not count.
         self.trusted_from = -math.inf
         # What the last tick has found.
@@ -65,6 +71,7 @@
         if not self.settings.revocation_ms:
             return True
         self._check_suspension(now)
+        self._check_freeze(now)
         return (
             self.proof.age(now) <= self.seconds
             and self.proof.proven_at >= self.trusted_from
@@ -73,6 +80,7 @@
     def tick(self, now: float) -> list[events.Record]:
         """Report that the lease has lapsed or holds again."""
         held = self.holds(now)
+        self.ticked_at = now
         if held == self.held:
             return []
         self.held = held
@@ -91,3 +99,9 @@
         if difference - self.clock_difference >= SUSPENSION_SECONDS:
             self.trusted_from = now + SETTLING_SECONDS
         self.clock_difference = difference
+
+    def _check_freeze(self, now: float) -> None:
+        # The kernel keeps what peers send to a frozen process, so that old
+        # notices look as if they had just been sent.
+        if now - self.ticked_at >= FROZEN_SECONDS:
+            self.trusted_from = now + SETTLING_SECONDS
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -220,6 +220,25 @@
     assert lease.holds(2.0)
 
 
+def test_notices_read_after_a_freeze_prove_nothing():
+    """Guards against a frozen process that takes old notices for new ones."""
+    clocks = Clocks()
+    lease = make_lease(clocks)
+    lease.tick(0.0)
+    # The process reads a notice that the kernel has kept for 20 s.
+    clocks.now = 20.0
+    lease.proof.record(19.7, 20.0)
+    assert not lease.holds(20.0)
+    lease.tick(20.0)
+    clocks.now = 20.7
+    lease.proof.record(20.4, 20.7)
+    lease.tick(20.7)
+    assert not lease.holds(20.7)
+    clocks.now = 21.4
+    lease.proof.record(21.1, 21.4)
+    assert lease.holds(21.4)
+
+
 def test_lapse_and_return_are_logged_once():
     clocks = Clocks()
     lease = make_lease(clocks)
