Respond to requests whose deadline passes in the quota queue

A request whose deadline passed while it waited for a quota was still sent. Its caller got 429 or, 0.08 s late, 504, its token was spent, and the target that received it was recorded as one that did not respond.

The queue ends a wait at the deadline, but neither the tick nor a grant compared the time with it before they took a token.

test_request_does_not_run_after_its_deadline failed before: a grant 0.01 s after the deadline led to a Forward.

Both now leave the token, and the tick responds with 504, as for a request that arrives late. Refusals after the deadline become 504 as well: 429 would invite a client that no longer waits to return.

--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -179,6 +179,9 @@
         actions: Actions = []
         for name in self.quotas.granted(host_id, message, now):
             for pending in self.quota_queue.of_account(name):
+                if now >= pending.deadline:
+                    # The next tick responds to it.
+                    continue
                 outcome = self.quotas.take_waiting(name, now)
                 if outcome == quotas.WAIT:
                     break
@@ -213,6 +216,10 @@
         """Decide about requests that waited too long; ask for tokens."""
         actions: Actions = []
         for pending in self.quota_queue.take_due(now):
+            if now >= pending.deadline:
+                self.quotas.leave(_account_name(pending))
+                actions += self._respond(pending, 504, "deadline", now=now)
+                continue
             outcome = self.quotas.decide(_account_name(pending), now)
             actions += self._end_wait(pending, outcome, now)
         return actions + self.quotas.tick(now)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -115,9 +115,11 @@
     raise AssertionError("no such host")
 
 
-def ask(plane, number=1, now=0.0):
+def ask(plane, number=1, now=0.0, **values):
     key = account_keys.digest("acme")
-    request = build.make_request(number, received_at=now, key_digest=key)
+    request = build.make_request(
+        number, received_at=now, key_digest=key, **values
+    )
     return plane.request(request, now)
 
 
@@ -163,6 +165,25 @@
     assert statuses(actions) or build.sent_messages(actions, messages.Forward)
 
 
+def test_request_does_not_run_after_its_deadline():
+    """Guards against tokens for late requests, and targets blamed for them."""
+    plane = make_plane()
+    actions = ask(plane, remaining=0.1)
+    assert grant(plane, actions, 1, 0.0, 0.11) == []
+    assert plane.quotas.holdings["acme"].tokens == 1
+    late = plane.tick(0.12)
+    assert statuses(late) == [504]
+    assert not build.sent_messages(late, messages.Forward)
+    assert plane.quotas.holdings["acme"].tokens == 1
+    assert not plane.quotas.holdings["acme"].waiting
+    # Without an answer of the owner as well.
+    ask(plane, 2, 0.2)
+    ask(plane, 3, 0.2, remaining=0.1)
+    late = plane.tick(0.31)
+    assert statuses(late) == [504]
+    assert not build.sent_messages(late, messages.Forward)
+
+
 def test_late_grant_counts_for_nothing():
     """Guards against tokens of two owners for the same time."""
     plane = make_plane()
