Keep the bucket of a frozen owner from filling up

The first host whose message an owner read after a freeze could get a full burst, while the other hosts had already been served by a deputy.

Only the tick of the owner noticed a freeze. A message that the kernel kept is often read before the first tick, and the bucket was then refilled for the whole time of the freeze.

test_owner_gains_nothing_in_a_freeze failed before: 135 tokens were granted 5 s after the bucket had been emptied, 0 were allowed.

Requests, takes and returns of tokens now look for a freeze first.

--- a/src/hickorythread/mesh/quota_owner.py
+++ b/src/hickorythread/mesh/quota_owner.py
@@ -135,6 +135,7 @@
         self, host_id: str, message: messages.QuotaRequest, now: float
     ) -> messages.QuotaGrant:
         """Grant tokens to a host."""
+        self._check_freeze(now)
         self.message_count += 1
         entries = [
             self._grant(host_id, entry, now)
@@ -149,6 +150,7 @@
         Returns 0 or the seconds until the next token. share is the part of
         this host's share that may be used.
         """
+        self._check_freeze(now)
         account = self._account(name, now)
         account.askers[self.hosts.host_id] = Asker(now, False)
         self._update_share(account, now, share)
@@ -158,6 +160,7 @@
 
     def give_back(self, name: str, tokens: int, now: float) -> None:
         """Put tokens back into a bucket."""
+        self._check_freeze(now)
         account = self.accounts.get(name)
         if account is not None and tokens > 0:
             bucket = account.bucket
@@ -166,12 +169,8 @@
 
     def tick(self, now: float) -> None:
         """Notice a freeze, adapt the interval and drop what is not in use."""
-        gap = now - self.ticked_at
+        self._check_freeze(now)
         self.ticked_at = now
-        if gap > FROZEN_SECONDS:
-            self.hosts.lost_at = now
-            for account in self.accounts.values():
-                account.bucket.refilled_at = now
         if now - self.counted_at < 1.0:
             return
         self._adapt_interval(now - self.counted_at)
@@ -186,6 +185,15 @@
             ):
                 del self.accounts[name]
 
+    def _check_freeze(self, now: float) -> None:
+        # A message that arrived during a freeze may be read before a tick.
+        if now - self.ticked_at <= FROZEN_SECONDS:
+            return
+        self.ticked_at = now
+        self.hosts.lost_at = now
+        for account in self.accounts.values():
+            account.bucket.refilled_at = now
+
     def _adapt_interval(self, seconds: float) -> None:
         load = self.message_count / seconds / MAX_MESSAGES_PER_SECOND
         self.message_count = 0
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -276,6 +276,21 @@
     assert entry[1] == int(135 / 4)
 
 
+def test_owner_gains_nothing_in_a_freeze():
+    """Guards against a full burst for the first message after a freeze."""
+    fleet = make_fleet(1)
+    owner = fleet.owner("big").client.owner
+    request = messages.QuotaRequest(1, [["big", 500, 0, 0, True]])
+    owner.tick(10.0)
+    owner.request("10.0.0.9", request, 10.0)
+    # Read before the first tick.
+    (entry,) = owner.request("10.0.0.9", request, 15.0).entries
+    assert entry[1] == 0
+    owner.tick(15.0)
+    (entry,) = owner.request("10.0.0.9", request, 15.1).entries
+    assert entry[1] <= 14
+
+
 def test_only_the_most_active_accounts_are_counted_by_name():
     """Guards against metrics that grow with the accounts."""
     client = quotas.QuotaClient("10.0.0.1", quota_fleet.random.Random(1))
