Measure suspensions without the delay between two readings

A process that lost its core for 50 ms at the wrong moment refused requests with keys, with 503, for a second and until the next proof. Suspensions of less than 50 ms each were never noticed, however many there were.

The lease compared the boot clock with a monotonic time that its caller had read before, so that any delay between the two readings looked like a suspension. Each check also replaced the difference that it compared with.

The monotonic clock is now read last, so that a delay can only make a suspension look shorter, and the difference is kept until one is noticed. A stale time of the caller does no harm: the request was read before it.

--- a/src/hickorythread/mesh/account_lease.py
+++ b/src/hickorythread/mesh/account_lease.py
@@ -15,7 +15,7 @@
 # Part of the bound for which a proof is good. The rest covers a proof that a
 # peer has sent and that was long on its way.
 LEASE_SHARE = 0.6
-# Difference of the clocks that shows that this host was suspended.
+# More than the error of a reading of the two clocks.
 SUSPENSION_SECONDS = 0.05
 # A process without a tick for this time was frozen. What a shorter freeze adds
 # to the age of a proof fits into the rest of the bound.
@@ -28,15 +28,16 @@
 class AccountLease:
     """Hold a lease on the accounts, which each proof of them renews.
 
-    boot_clock returns seconds of a clock that goes on while the host is
-    suspended, unlike the monotonic one.
+    suspended_seconds returns how long the host has been suspended so far. A
+    reading may be too low, but not too high: what a lease allowed at the time
+    of a request may run.
     """
 
     __slots__ = (
         "settings",
         "proof",
-        "boot_clock",
-        "clock_difference",
+        "suspended_seconds",
+        "known_suspension",
         "ticked_at",
         "trusted_from",
         "held",
@@ -46,13 +47,12 @@
         self,
         settings: mesh_settings.Settings,
         proof: proofs.TopicProof,
-        boot_clock: Callable[[], float],
-        now: float,
+        suspended_seconds: Callable[[], float],
     ) -> None:
         self.settings = settings
         self.proof = proof
-        self.boot_clock = boot_clock
-        self.clock_difference = boot_clock() - now
+        self.suspended_seconds = suspended_seconds
+        self.known_suspension = suspended_seconds()
         # Infinite until the first tick: a new process has no old messages.
         self.ticked_at = math.inf
         # Proofs from before this time do not count.
@@ -95,10 +95,11 @@
         ]
 
     def _check_suspension(self, now: float) -> None:
-        difference = self.boot_clock() - now
-        if difference - self.clock_difference >= SUSPENSION_SECONDS:
+        suspension = self.suspended_seconds()
+        # Shorter suspensions add up.
+        if suspension - self.known_suspension >= SUSPENSION_SECONDS:
+            self.known_suspension = suspension
             self.trusted_from = now + SETTLING_SECONDS
-        self.clock_difference = difference
 
     def _check_freeze(self, now: float) -> None:
         # The kernel keeps what peers send to a frozen process, so that old
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -140,8 +140,7 @@
         self.account_lease = account_lease.AccountLease(
             settings,
             self.synchronizer.proofs[interfaces.OPERATOR],
-            utils.boot_time,
-            now,
+            utils.suspended_seconds,
         )
         self.entry = entry.EntryPlane(
             settings, self.view, random_source, self.account_lease
--- a/src/hickorythread/utils.py
+++ b/src/hickorythread/utils.py
@@ -66,9 +66,11 @@
         return time.time()
 
 
-def boot_time() -> float:
-    """Return seconds of a clock that goes on while the host is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+def suspended_seconds() -> float:
+    """Return how long the host has been suspended since it was booted."""
+    boot_time = time.clock_gettime(time.CLOCK_BOOTTIME)
+    # Read last: a delay between the readings does not look like a suspension.
+    return boot_time - time.monotonic()
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -105,13 +105,12 @@
     return new_view
 
 
-def make_lease(settings=None, proof=None, boot_clock=lambda: 0.0):
+def make_lease(settings=None, proof=None, suspended_seconds=lambda: 0.0):
     """Build a lease, which holds for good if the settings set no bound."""
     return account_lease.AccountLease(
         settings or make_settings(),
         proof or proofs.TopicProof(0.0),
-        boot_clock,
-        0.0,
+        suspended_seconds,
     )
 
 
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -4,6 +4,7 @@
 
 from hickorythread import account_keys
 from hickorythread import codec
+from hickorythread import utils
 from hickorythread.mesh import events
 from hickorythread.mesh import models
 from hickorythread.mesh import proofs
@@ -164,14 +165,14 @@
 
 
 class Clocks:
-    """Hold the time of a host; the boot clock counts suspensions as well."""
+    """Hold the time of a host and how long it has been suspended."""
 
     def __init__(self):
         self.now = 0.0
         self.suspended = 0.0
 
-    def boot(self):
-        return self.now + self.suspended
+    def suspended_seconds(self):
+        return self.suspended
 
 
 def make_lease(clocks, bound_ms=5000):
@@ -179,7 +180,7 @@
     proof = proofs.TopicProof(0.0)
     proof.record(0.0, 0.0)
     settings = build.make_settings(revocation_ms=bound_ms)
-    return build.make_lease(settings, proof, clocks.boot)
+    return build.make_lease(settings, proof, clocks.suspended_seconds)
 
 
 def test_lease_ends_before_the_bound_of_a_withdrawal():
@@ -220,6 +221,39 @@
     assert lease.holds(2.0)
 
 
+def test_short_suspensions_add_up():
+    """Guards against a host that is often suspended for a moment."""
+    clocks = Clocks()
+    lease = make_lease(clocks)
+    assert lease.holds(0.5)
+    clocks.suspended = 0.04
+    assert lease.holds(0.5)
+    clocks.suspended = 0.08
+    assert not lease.holds(0.5)
+
+
+def test_delay_between_clock_readings_is_no_suspension(monkeypatch):
+    """Guards against refusals where a process loses its core briefly."""
+    now = 100.0
+
+    def read(*clock):
+        nonlocal now
+        now += 0.06
+        return now
+
+    proof = proofs.TopicProof(0.0)
+    settings = build.make_settings(revocation_ms=5000)
+    with monkeypatch.context() as patch:
+        patch.setattr("time.monotonic", lambda: now)
+        patch.setattr("time.clock_gettime", lambda clock: now)
+        lease = build.make_lease(settings, proof, utils.suspended_seconds)
+        proof.record(now, now)
+        assert lease.holds(now)
+        patch.setattr("time.monotonic", read)
+        patch.setattr("time.clock_gettime", read)
+        assert lease.holds(now)
+
+
 def test_notices_read_after_a_freeze_prove_nothing():
     """Guards against a frozen process that takes old notices for new ones."""
     clocks = Clocks()
