Bound strict revocation where the settings state no bound

With strict_revoke but without revoke_ms, a host that heard of nothing ran requests with withdrawn keys for as long as it was cut off, and nothing told the operator.

The settings took over revoke_ms only if it was there, and without it there is no lease.

test_strict_revocation_has_a_bound_by_default failed before: the document had no bound.

The 5,000 ms of the design are now the default.

--- a/src/hickorythread/platform/settings.py
+++ b/src/hickorythread/platform/settings.py
@@ -5,6 +5,8 @@
 BOUNDS = "bounds"
 STRICT_REVOCATION = "strict_revoke"
 REVOCATION = "revoke_ms"
+# Without it, strict revocation would set no bound at all.
+DEFAULT_REVOCATION_MS = 5000
 
 
 def translate(document: Any) -> Any:
@@ -22,6 +24,8 @@
         name: value for name, value in document.items() if name != BOUNDS
     }
     # Without strict revocation, a withdrawn key has the bound of any change.
-    if bounds.get(STRICT_REVOCATION) is True and REVOCATION in bounds:
-        translated["revocation_ms"] = bounds[REVOCATION]
+    if bounds.get(STRICT_REVOCATION) is True:
+        translated["revocation_ms"] = bounds.get(
+            REVOCATION, DEFAULT_REVOCATION_MS
+        )
     return translated
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -296,3 +296,9 @@
     document = platform_settings.translate({"name": "a", "bounds": bounds})
     assert document.pop("revocation_ms", None) == expected
     assert document == {"name": "a"}
+
+
+def test_strict_revocation_has_a_bound_by_default():
+    """Guards against a lease that is off because its bound is not stated."""
+    document = platform_settings.translate({"bounds": {"strict_revoke": True}})
+    assert document == {"revocation_ms": 5000}
