--- a/src/hickorythread/mesh/account_lease.py
+++ b/src/hickorythread/mesh/account_lease.py
@@ -15,9 +15,12 @@
 # Part of the bound for which a proof is good. The rest covers a proof that a
 # peer has sent and that was long on its way.
 LEASE_SHARE = 0.6
-# Difference of the clocks that shows that this host was suspended.
+# More than the error of a reading of the two clocks.
 SUSPENSION_SECONDS = 0.05
-# What arrived before a suspension is read within this time after it.
+# A process without a tick for this time was frozen. What a shorter freeze adds
+# to the age of a proof fits into the rest of the bound.
+FROZEN_SECONDS = 1.0
+# What arrived before a suspension or freeze is read within this time after it.
 SETTLING_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 0.5
 
@@ -25,15 +28,17 @@
 class AccountLease:
     """Hold a lease on the accounts, which each proof of them renews.
 
-    boot_clock returns seconds of a clock that goes on while the host is
-    suspended, unlike the monotonic one.
+    suspended_seconds returns how long the host has been suspended so far. A
+    reading may be too low, but not too high: what a lease allowed at the time
+    of a request may run.
     """
 
     __slots__ = (
         "settings",
         "proof",
-        "boot_clock",
-        "clock_difference",
+        "suspended_seconds",
+        "known_suspension",
+        "ticked_at",
         "trusted_from",
         "held",
     )
@@ -42,13 +47,14 @@
         self,
         settings: mesh_settings.Settings,
         proof: proofs.TopicProof,
-        boot_clock: Callable[[], float],
-        now: float,
+        suspended_seconds: Callable[[], float],
     ) -> None:
         self.settings = settings
         self.proof = proof
-        self.boot_clock = boot_clock
-        self.clock_difference = boot_clock() - now
+        self.suspended_seconds = suspended_seconds
+        self.known_suspension = suspended_seconds()
+        # Infinite until the first tick: a new process has no old messages.
+        self.ticked_at = math.inf
         # Proofs from before this time do not count.
         self.trusted_from = -math.inf
         # What the last tick has found.
@@ -64,7 +70,7 @@
         """Return whether keys may be trusted."""
         if not self.settings.revocation_ms:
             return True
-        self._check_suspension(now)
+        self._check_pause(now)
         return self._is_proven(now, self.trusted_from)
 
     def would_hold(self, now: float) -> bool:
@@ -72,7 +78,7 @@
         if not self.settings.revocation_ms:
             return True
         trusted_from = self.trusted_from
-        if self._was_suspended(now):
+        if self._was_suspended() or self._was_frozen(now):
             trusted_from = now + SETTLING_SECONDS
         return self._is_proven(now, trusted_from)
 
@@ -85,6 +91,7 @@
     def tick(self, now: float) -> list[events.Record]:
         """Report that the lease has lapsed or holds again."""
         held = self.holds(now)
+        self.ticked_at = now
         if held == self.held:
             return []
         self.held = held
@@ -98,11 +105,20 @@
             )
         ]
 
-    def _check_suspension(self, now: float) -> None:
-        if self._was_suspended(now):
+    def _check_pause(self, now: float) -> None:
+        """Distrust earlier proofs after a suspension or a freeze."""
+        if self._was_suspended():
+            self.known_suspension = self.suspended_seconds()
             self.trusted_from = now + SETTLING_SECONDS
-        self.clock_difference = self.boot_clock() - now
+        # The kernel keeps what peers send to a frozen process, so that old
+        # notices look as if they had just been sent.
+        if self._was_frozen(now):
+            self.trusted_from = now + SETTLING_SECONDS
+
+    def _was_suspended(self) -> bool:
+        # Shorter suspensions add up.
+        suspension = self.suspended_seconds() - self.known_suspension
+        return suspension >= SUSPENSION_SECONDS
 
-    def _was_suspended(self, now: float) -> bool:
-        difference = self.boot_clock() - now
-        return difference - self.clock_difference >= SUSPENSION_SECONDS
+    def _was_frozen(self, now: float) -> bool:
+        return now - self.ticked_at >= FROZEN_SECONDS
--- a/src/hickorythread/platform/accounts.py
+++ b/src/hickorythread/platform/accounts.py
@@ -19,7 +19,7 @@
 
 def decode(document: dict[str, Any]) -> list[models.Account] | None:
     """Return the accounts of a configuration, None if it has no such part."""
-    if document.get("tenants") is None:
+    if "tenants" not in document:
         return None
     decoder = _Decoder()
     accounts = decoder.decode(document["tenants"])
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -25,7 +25,10 @@
     )
     configuration.services["other-desk"] = configuration.services["spec-desk"]
     view = build.make_view(targets, configuration)
-    return build.make_entry(view, lease=lease, connected=targets)
+    plane = build.make_entry(view, lease=lease, connected=targets)
+    # A plane without a tick for a while counts as frozen.
+    plane.quotas.owner.tick(NOW)
+    return plane
 
 
 def explain(plane, path="/specs/1", account="", timeout=None, now=NOW):
@@ -68,10 +71,10 @@
 @pytest.mark.parametrize("owns_quota", [True, False])
 def test_explaining_changes_no_state(owns_quota):
     """Guards against an explanation that takes a token or a random number."""
-    boot_times = iter([0.0] + [9.0] * 99)
+    suspensions = iter([0.0] + [9.0] * 99)
     lease = build.make_lease(
         build.make_settings(revocation_ms=5000),
-        boot_clock=lambda: next(boot_times),
+        suspended_seconds=lambda: next(suspensions),
     )
     account = build.make_account(rate=5.0, burst=1.0, home_regions=["north"])
     plane = make_plane([account], destinations=SPLIT, lease=lease)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -115,9 +115,11 @@
     raise AssertionError("no such host")
 
 
-def ask(plane, number=1, now=0.0):
+def ask(plane, number=1, now=0.0, **values):
     key = account_keys.digest("acme")
-    request = build.make_request(number, received_at=now, key_digest=key)
+    request = build.make_request(
+        number, received_at=now, key_digest=key, **values
+    )
     return plane.request(request, now)
 
 
@@ -163,11 +165,35 @@
     assert statuses(actions) or build.sent_messages(actions, messages.Forward)
 
 
-def test_late_grant_counts_for_nothing():
-    """Guards against tokens of two owners for the same time."""
+def test_request_does_not_run_after_its_deadline():
+    """Guards against tokens for late requests, and targets blamed for them."""
+    plane = make_plane()
+    actions = ask(plane, remaining=0.1)
+    assert grant(plane, actions, 1, 0.0, 0.11) == []
+    assert plane.quotas.holdings["acme"].tokens == 1
+    late = plane.tick(0.12)
+    assert statuses(late) == [504]
+    assert not build.sent_messages(late, messages.Forward)
+    assert plane.quotas.holdings["acme"].tokens == 1
+    assert not plane.quotas.holdings["acme"].waiting
+    # Without an answer of the owner as well.
+    ask(plane, 2, 0.2)
+    ask(plane, 3, 0.2, remaining=0.1)
+    late = plane.tick(0.31)
+    assert statuses(late) == [504]
+    assert not build.sent_messages(late, messages.Forward)
+
+
+@pytest.mark.parametrize("ticks", [True, False])
+def test_late_grant_counts_for_nothing(ticks):
+    """Guards against tokens of two owners for the same time.
+
+    A process that was frozen reads the grant before it ticks.
+    """
     plane = make_plane()
     actions = ask(plane)
-    plane.tick(0.4)
+    if ticks:
+        plane.tick(0.4)
     grant(plane, actions, 5, 0.0, 0.5)
     assert not plane.quotas.holdings["acme"].tokens
 
@@ -255,6 +281,21 @@
     assert entry[1] == int(135 / 4)
 
 
+def test_owner_gains_nothing_in_a_freeze():
+    """Guards against a full burst for the first message after a freeze."""
+    fleet = make_fleet(1)
+    owner = fleet.owner("big").client.owner
+    request = messages.QuotaRequest(1, [["big", 500, 0, 0, True]])
+    owner.tick(10.0)
+    owner.request("10.0.0.9", request, 10.0)
+    # Read before the first tick.
+    (entry,) = owner.request("10.0.0.9", request, 15.0).entries
+    assert entry[1] == 0
+    owner.tick(15.0)
+    (entry,) = owner.request("10.0.0.9", request, 15.1).entries
+    assert entry[1] <= 14
+
+
 def test_only_the_most_active_accounts_are_counted_by_name():
     """Guards against metrics that grow with the accounts."""
     client = quotas.QuotaClient("10.0.0.1", quota_fleet.random.Random(1))
