Clarify names and comments of quotas, capacity and explanations

Rename Asker to Requester, stays to will_report, crowded to oversubscribed, _take_alone and alone_until to _take_locally and local_until, and _room_cost with its constants to headroom. InvalidQuestion becomes QuestionError, like the other exceptions. The limits of a retry in quota_owner no longer share the name MAX_WAIT_SECONDS with the wait for an answer in quotas.

State what the constants without a comment limit or weigh, and name the demand below which an unused holding is dropped. Reword docstrings that were hard to follow. No behavior and no message changes.

--- a/src/hickorythread/mesh/capacity.py
+++ b/src/hickorythread/mesh/capacity.py
@@ -4,7 +4,9 @@
 
 # A pace of 100 percent: work takes as long as at the other targets.
 USUAL_PACE = 100
+# A factor of 100 percent: work takes as long as is normal for the target.
 USUAL_FACTOR = 100
+# Limits of a pace in percent.
 MIN_PACE = 20
 MAX_PACE = 500
 # A pace over fewer runs says more about the requests than about the target.
@@ -18,10 +20,12 @@
 CHANGE_SHARE = 0.25
 # Shorter disturbances end before an announcement could have an effect.
 SUSTAINED_SECONDS = 1.0
+# Least time between two announcements of a target.
 MIN_ANNOUNCE_SECONDS = 4.0
 # A target reports its factor in every response, and the factor changes often.
 MAX_FACTOR_AGE_SECONDS = 1.0
 MAX_PACE_AGE_SECONDS = 30.0
+# Weight of the newest factor in the smoothed one.
 FACTOR_SMOOTHING = 0.1
 MIN_KNOWN_TARGETS = 2
 
@@ -45,7 +49,8 @@
     """Follow the factor by which a target says that its work takes longer.
 
     last is the newest figure, mean a smoothed one and sustained the one that
-    has held for SUSTAINED_SECONDS, all in percent.
+    has held for SUSTAINED_SECONDS, all in percent. held is the factor that the
+    newest ones are compared with, since held_since.
     """
 
     __slots__ = ("last", "last_at", "mean", "sustained", "held", "held_since")
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -30,7 +30,7 @@
 # the settings allow. Starts that reach it in bunches then still stay within
 # the limit.
 WARMUP_SHARE = 0.8
-# Part of these that may start in one bunch. The rest is a steady rate.
+# Part of these requests that may start at once. The rest sets the rate.
 WARMUP_BURST_SHARE = 0.15
 
 CallKey = tuple[str, int]
@@ -484,7 +484,7 @@
         seconds: float,
         now: float,
     ) -> None:
-        """Learn how long a run took, unless it says nothing of the speed."""
+        """Learn the run time of a call that succeeded at a warm target."""
         if run.cold or response.not_run or response.status >= MIN_ERROR_STATUS:
             return
         usual_ms = min(max(run.call.usual_ms, 0), MAX_USUAL_MS)
@@ -650,12 +650,12 @@
         service = self.service
         if service is None or service.warmup_rate <= 0:
             return
-        most = WARMUP_SHARE * (
+        max_starts = WARMUP_SHARE * (
             service.warmup_rate * self.settings.warmup_rate_factor
             + self.settings.warmup_burst
         )
-        burst = max(1.0, WARMUP_BURST_SHARE * most)
-        rate = max(service.warmup_rate, most - burst)
+        burst = max(1.0, WARMUP_BURST_SHARE * max_starts)
+        rate = max(service.warmup_rate, max_starts - burst)
         self.admission.start_warmup(seconds, rate, burst, now)
 
     def _announce(self, now: float) -> list[events.Record]:
@@ -686,7 +686,8 @@
         if not pace:
             return []
         return [
-            # Others learn it from replies: bytes between regions are dear.
+            # Other regions learn it from replies: traffic between regions
+            # costs most.
             events.Broadcast(self._make_state(True, reasons.PACE), True),
             events.Log(
                 "target_pace",
--- a/src/hickorythread/mesh/explanation.py
+++ b/src/hickorythread/mesh/explanation.py
@@ -37,7 +37,7 @@
 Document = dict[str, Any]
 
 
-class InvalidQuestion(ValueError):
+class QuestionError(ValueError):
     """Report parameters that name no request."""
 
 
@@ -62,16 +62,16 @@
 
     @classmethod
     def from_query(cls, query: str) -> "Question":
-        """Read the query part of a URL; raises InvalidQuestion."""
+        """Read the query part of a URL; raises QuestionError."""
         values = _read_parameters(query)
         for name in ("host", "path"):
             if name not in values:
-                raise InvalidQuestion(f"parameter {name} is missing")
+                raise QuestionError(f"parameter {name} is missing")
         if not values["path"].startswith("/"):
-            raise InvalidQuestion("path must start with /")
+            raise QuestionError("path must start with /")
         method = values.get("method", "GET")
         if not method.isascii() or not method.isalpha():
-            raise InvalidQuestion("method must consist of letters")
+            raise QuestionError("method must consist of letters")
         return cls(
             values["host"],
             values["path"],
@@ -91,18 +91,18 @@
             query, max_num_fields=len(PARAMETERS), errors="strict"
         )
     except ValueError as error:
-        raise InvalidQuestion(
+        raise QuestionError(
             f"expected at most {len(PARAMETERS)} parameters in UTF-8"
         ) from error
     values: dict[str, str] = {}
     for name, value in pairs:
         if name not in PARAMETERS:
             known = ", ".join(PARAMETERS)
-            raise InvalidQuestion(f"unknown parameter; known are {known}")
+            raise QuestionError(f"unknown parameter; known are {known}")
         if name in values:
-            raise InvalidQuestion(f"parameter {name} is repeated")
+            raise QuestionError(f"parameter {name} is repeated")
         if len(value) > MAX_VALUE_LENGTH or not value.isprintable():
-            raise InvalidQuestion(
+            raise QuestionError(
                 f"{name} must be at most {MAX_VALUE_LENGTH} printable "
                 "characters"
             )
@@ -118,7 +118,7 @@
     except ValueError:
         seconds = math.nan
     if not 0.0 <= seconds <= MAX_TIMEOUT_SECONDS:
-        raise InvalidQuestion(
+        raise QuestionError(
             f"timeout must be seconds from 0 to {MAX_TIMEOUT_SECONDS:g}"
         )
     return seconds
@@ -435,7 +435,7 @@
     next_service: str | None,
     destinations: list[Document],
 ) -> Document:
-    """Return what happens to a request that is not refused before."""
+    """Return the decision about a request that was not refused earlier."""
     if quota is not None and quota["action"] != SEND:
         return quota
     refusals = [item["refusal"] for item in destinations if item["weight"]]
@@ -483,7 +483,7 @@
     for key, account in _only(source.owner.accounts, name).items():
         copied = client.owner.accounts[key] = copy.copy(account)
         copied.bucket = copy.copy(account.bucket)
-        copied.askers = dict(account.askers)
+        copied.requesters = dict(account.requesters)
     return client
 
 
--- a/src/hickorythread/mesh/ingress.py
+++ b/src/hickorythread/mesh/ingress.py
@@ -209,7 +209,7 @@
     ) -> Iterable[bytes]:
         try:
             question = explanation.Question.from_query(query)
-        except explanation.InvalidQuestion as error:
+        except explanation.QuestionError as error:
             message = {"error": str(error)}
             return server.send_response(start_response, 400, message)
         document = self.node.explain(question)
--- a/src/hickorythread/mesh/placement.py
+++ b/src/hickorythread/mesh/placement.py
@@ -36,8 +36,8 @@
 # Targets in home regions of other routes cost this much more per share of the
 # limit in use beyond this share. They keep most of their preference over those
 # of other regions, since bytes between regions cost most.
-ROOM_LOAD_SHARE = 0.5
-ROOM_WEIGHT = 1.0
+HEADROOM_LOAD_SHARE = 0.5
+HEADROOM_WEIGHT = 1.0
 # A choice looks at all targets of a small tier. The best of a random sample
 # is nearly as good in a large one, and nodes with the same reports choose
 # different targets.
@@ -418,22 +418,22 @@
         latency_penalty = SLOW_WEIGHT * peer.excess_latency(
             route, now, usual_ms / 1000.0, waiting
         )
-        room = self._room_cost(target, route, load)
-        return load + failures + latency_penalty + room
+        headroom = self._headroom_cost(target, route, load)
+        return load + failures + latency_penalty + headroom
 
-    def _room_cost(
+    def _headroom_cost(
         self, target: models.Target, route: models.Route, load: float
     ) -> float:
-        """Return the cost of taking room that restricted routes need."""
+        """Return the cost of using capacity that restricted routes need."""
         if route.home_regions or target.service not in self.home_regions:
             return 0.0
         region = self.regions.get(target.failure_domain, "")
         if region not in self.home_regions[target.service]:
             return 0.0
-        return ROOM_WEIGHT * max(0.0, load - ROOM_LOAD_SHARE)
+        return HEADROOM_WEIGHT * max(0.0, load - HEADROOM_LOAD_SHARE)
 
     def set_routes(self, routes: Collection[models.Route]) -> None:
-        """Learn for which services restricted routes need room."""
+        """Record the home regions that restricted routes depend on."""
         restricted: dict[str, set[str]] = {}
         unrestricted: set[str] = set()
         for route in routes:
--- a/src/hickorythread/mesh/quota_holdings.py
+++ b/src/hickorythread/mesh/quota_holdings.py
@@ -5,13 +5,16 @@
 from hickorythread.mesh import models
 from hickorythread.mesh import quota_owner
 
-# Hosts report more often than their owner counts them as missing.
+# Less than the time after which the owner counts a host as missing.
 REPORT_SECONDS = 0.4
+# Time constant with which the measured demand decays.
 DEMAND_SECONDS = 1.0
 # Time of demand for which tokens are fetched ahead.
 AHEAD_SECONDS = 0.5
 # Less demand than this, in requests per second, causes no reports.
 MIN_DEMAND = 1.0
+# First pause of an owner that does not answer; the next ones are longer. Also
+# how long a host decides itself for an owner that lacks the account.
 MIN_PAUSE_SECONDS = 1.0
 
 
@@ -27,10 +30,10 @@
         "waiting",
         "asked",
         "empty_until",
-        "alone_until",
+        "local_until",
         "demand",
         "counted_at",
-        "stays",
+        "will_report",
         "reported_at",
     )
 
@@ -45,12 +48,13 @@
         self.waiting = 0
         self.asked = 0
         self.empty_until = -math.inf
-        # Until then the owner does not know the account.
-        self.alone_until = -math.inf
+        # Until then this host decides itself, because the owner does not know
+        # the account or its limit.
+        self.local_until = -math.inf
         self.demand = 0.0
         self.counted_at = now
-        # Whether the owner waits for a report, and when the last was sent.
-        self.stays = False
+        # Whether the last report announced another, and when it was sent.
+        self.will_report = False
         self.reported_at = now
 
     def count_request(self, now: float) -> None:
@@ -86,12 +90,12 @@
             self.expires_at = math.inf
 
     def change_owner(self, owner: str) -> None:
-        """Go on with another owner, which the tokens do not return to."""
+        """Use another owner, which does not take back released tokens."""
         self.owner = owner
         self.released = 0
         self.asked = 0
         self.empty_until = -math.inf
-        self.stays = False
+        self.will_report = False
 
     def ahead(self, now: float) -> int:
         """Return how many tokens to fetch ahead of demand."""
@@ -115,12 +119,12 @@
         self.pause = MIN_PAUSE_SECONDS
 
     @property
-    def crowded(self) -> bool:
+    def oversubscribed(self) -> bool:
         """Return whether tokens would expire between two messages."""
         return self.interval > quota_owner.TOKEN_SECONDS
 
     def may_send(self, urgent: bool, now: float) -> bool:
         """Return whether the next message is due."""
-        if urgent and not self.crowded:
+        if urgent and not self.oversubscribed:
             return True
         return now - self.sent_at >= self.interval
--- a/src/hickorythread/mesh/quota_owner.py
+++ b/src/hickorythread/mesh/quota_owner.py
@@ -15,40 +15,43 @@
 INITIAL_BURST_SHARE = 0.25
 # A host that has announced a report is missing without one for this time.
 MISSING_SECONDS = 0.8
-# How long a host counts as one that asks, or as missing.
+# A host counts as a recent requester for this time after its last message.
 ASKING_SECONDS = 1.0
+# Hosts, also missing ones, and accounts in no use for this time are dropped.
 FORGET_SECONDS = 5.0
 # A process that has not run for this time was frozen.
 FROZEN_SECONDS = 0.5
 # Tokens of a bucket that are kept for requests that wait.
 WAITING_SHARE = 0.25
-MIN_WAIT_SECONDS = 0.1
-MAX_WAIT_SECONDS = 1.0
+# Limits of the time after which a host or client without a token tries again.
+MIN_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 1.0
+# Limits of the time between two messages of a host to the owner.
 MIN_INTERVAL_SECONDS = 0.1
 MAX_INTERVAL_SECONDS = 60.0
 # 500 messages at about 40 us take 2% of a core.
 MAX_MESSAGES_PER_SECOND = 500.0
 # Part of the rate that the owner grants, and that all hosts use on their own,
 # while there are too many hosts to ask.
-CROWDED_SHARE = 0.5
+OVERSUBSCRIBED_SHARE = 0.5
 # States that the account or its limit is not known here.
 NOT_KNOWN = -1.0
 
 
-class Asker(models.Value):
+class Requester(models.Value):
     """Hold when a host asked last and whether it announced a report."""
 
-    __slots__ = ("asked_at", "stays")
+    __slots__ = ("requested_at", "will_report")
 
-    def __init__(self, asked_at: float, stays: bool) -> None:
-        self.asked_at = asked_at
-        self.stays = stays
+    def __init__(self, requested_at: float, will_report: bool) -> None:
+        self.requested_at = requested_at
+        self.will_report = will_report
 
 
 class Account:
     """Hold the bucket of an account and the hosts that ask for it."""
 
-    __slots__ = ("limit", "bucket", "askers", "used_at")
+    __slots__ = ("limit", "bucket", "requesters", "used_at")
 
     def __init__(
         self,
@@ -58,28 +61,33 @@
     ) -> None:
         self.limit = limit
         self.bucket = bucket
-        self.askers: dict[str, Asker] = {}
+        self.requesters: dict[str, Requester] = {}
         self.used_at = now
 
-    def asking(self, now: float) -> int:
+    def recent_requesters(self, now: float) -> int:
         """Return how many hosts have asked recently."""
         since = now - ASKING_SECONDS
-        return sum(asker.asked_at >= since for asker in self.askers.values())
+        return sum(
+            requester.requested_at >= since
+            for requester in self.requesters.values()
+        )
 
     def missing(self, reachable: set[str], interval: float, now: float) -> int:
         """Return how many reachable hosts owe a report."""
         before = now - max(MISSING_SECONDS, 2 * interval)
         return sum(
-            asker.stays and asker.asked_at < before and host_id in reachable
-            for host_id, asker in self.askers.items()
+            requester.will_report
+            and requester.requested_at < before
+            and host_id in reachable
+            for host_id, requester in self.requesters.items()
         )
 
     def expire(self, now: float) -> None:
         """Forget the hosts that asked long ago."""
         before = now - FORGET_SECONDS
-        for host_id, asker in list(self.askers.items()):
-            if asker.asked_at < before:
-                del self.askers[host_id]
+        for host_id, requester in list(self.requesters.items()):
+            if requester.requested_at < before:
+                del self.requesters[host_id]
 
 
 class QuotaOwner:
@@ -117,7 +125,7 @@
         return sum(self.hosts.owns(name) for name in self.accounts)
 
     @property
-    def crowded(self) -> bool:
+    def oversubscribed(self) -> bool:
         """Return whether hosts have to decide between their messages."""
         return self.interval > TOKEN_SECONDS
 
@@ -152,7 +160,7 @@
         """
         self._check_freeze(now)
         account = self._account(name, now)
-        account.askers[self.hosts.host_id] = Asker(now, False)
+        account.requesters[self.hosts.host_id] = Requester(now, False)
         self._update_share(account, now, share)
         if account.bucket.take(now):
             return 0.0
@@ -203,11 +211,11 @@
         )
 
     def _grant(self, host_id: str, entry: list[Any], now: float) -> list[Any]:
-        name, waiting, ahead, released, stays = entry
+        name, waiting, ahead, released, will_report = entry
         if name not in self.limits:
             return [name, 0, NOT_KNOWN]
         account = self._account(name, now)
-        account.askers[host_id] = Asker(now, stays)
+        account.requesters[host_id] = Requester(now, will_report)
         self._update_share(account, now)
         self.give_back(name, released, now)
         bucket = account.bucket
@@ -224,7 +232,7 @@
             limit = self.limits[name]
             bucket = token_bucket.TokenBucket(limit.rate, limit.burst, now, 0)
             account = self.accounts[name] = Account(limit, bucket, now)
-            account.askers[self.hosts.host_id] = Asker(now, False)
+            account.requesters[self.hosts.host_id] = Requester(now, False)
             self._update_share(account, now)
             bucket.tokens = self._initial_tokens(account, now)
         account.used_at = now
@@ -245,13 +253,14 @@
     def _update_share(
         self, account: Account, now: float, part: float = 1.0
     ) -> None:
+        """Adjust a bucket to the part of the limit that this host grants."""
         hosts = self.hosts
         if hosts.owns(account.limit.name):
             granting = len(hosts.reachable)
             granting -= account.missing(hosts.reachable, self.interval, now)
-            part = CROWDED_SHARE if self.crowded else part
+            part = OVERSUBSCRIBED_SHARE if self.oversubscribed else part
         else:
-            granting = account.asking(now)
+            granting = account.recent_requesters(now)
         share = part * max(1, granting) / hosts.count
         rate = account.limit.rate * share
         # Without a burst, what hosts fetch at once has to fit.
@@ -259,9 +268,9 @@
         account.bucket.change(rate, max(1.0, burst), now)
 
     def _wait(self, account: Account, now: float) -> float:
-        """Return when a host may expect a token if all get the same."""
-        wait = max(1, account.asking(now)) / account.bucket.rate
-        return min(MAX_WAIT_SECONDS, max(MIN_WAIT_SECONDS, wait))
+        """Return the seconds until a host gets a token at equal shares."""
+        wait = max(1, account.recent_requesters(now)) / account.bucket.rate
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
 
 
 def is_request_entry(entry: Any) -> bool:
--- a/src/hickorythread/mesh/quotas.py
+++ b/src/hickorythread/mesh/quotas.py
@@ -17,7 +17,10 @@
 MAX_WAIT_SECONDS = 0.15
 # An owner without an answer for this time is passed over.
 ANSWER_SECONDS = 0.3
+# The pause of an owner doubles up to this time while it does not answer.
 MAX_PAUSE_SECONDS = 8.0
+# Demand, in requests per second, below which an unused holding is dropped.
+MIN_KEPT_DEMAND = 0.01
 # Accounts with a count of their own in the metrics.
 MAX_COUNTED_ACCOUNTS = 20
 
@@ -32,8 +35,8 @@
 
     def __init__(self, retry_after: float) -> None:
         self.retry_after = min(
-            quota_owner.MAX_WAIT_SECONDS,
-            max(quota_owner.MIN_WAIT_SECONDS, retry_after),
+            quota_owner.MAX_RETRY_SECONDS,
+            max(quota_owner.MIN_RETRY_SECONDS, retry_after),
         )
 
 
@@ -110,7 +113,7 @@
         outcome = self.take_waiting(name, now)
         if outcome == WAIT:
             self.leave(name)
-            return self._take_alone(name, now, 1.0)
+            return self._take_locally(name, now, 1.0)
         return outcome
 
     def count_refusal(self, name: str) -> None:
@@ -128,7 +131,7 @@
         return counts | {"": rest} if rest else counts
 
     def leave(self, name: str) -> None:
-        """Count one request less that waits."""
+        """Decrease the number of waiting requests of an account."""
         holding = self.holdings.get(name)
         if holding is not None:
             holding.waiting = max(0, holding.waiting - 1)
@@ -214,9 +217,9 @@
             return
         holding.add(tokens, now)
         if wait < 0:
-            holding.alone_until = now + quota_holdings.MIN_PAUSE_SECONDS
+            holding.local_until = now + quota_holdings.MIN_PAUSE_SECONDS
         elif wait > 0:
-            wait = min(wait, quota_owner.MAX_WAIT_SECONDS)
+            wait = min(wait, quota_owner.MAX_RETRY_SECONDS)
             holding.empty_until = now + wait
 
     def _holding(self, name: str, now: float) -> quota_holdings.Holding:
@@ -247,19 +250,19 @@
             holding.take()
             return TAKEN
         if holding.owner == self.hosts.host_id:
-            return self._take_alone(name, now, 1.0)
+            return self._take_locally(name, now, 1.0)
         if now < holding.empty_until:
             return Refusal(holding.empty_until - now)
-        if now < holding.alone_until:
-            return self._take_alone(name, now, 1.0)
+        if now < holding.local_until:
+            return self._take_locally(name, now, 1.0)
         link = self.links.get(holding.owner)
-        if link is not None and link.crowded:
+        if link is not None and link.oversubscribed:
             if now - link.sent_at < link.interval:
-                share = quota_owner.CROWDED_SHARE
-                return self._take_alone(name, now, share)
+                share = quota_owner.OVERSUBSCRIBED_SHARE
+                return self._take_locally(name, now, share)
         return WAIT
 
-    def _take_alone(self, name: str, now: float, share: float) -> Outcome:
+    def _take_locally(self, name: str, now: float, share: float) -> Outcome:
         if name not in self.limits:
             return TAKEN
         wait = self.owner.take(name, now, share)
@@ -276,14 +279,16 @@
         for holding in holdings:
             waiting = max(0, holding.waiting - holding.asked)
             ahead = holding.ahead(now)
-            holding.stays = holding.demand_at(now) >= quota_holdings.MIN_DEMAND
+            holding.will_report = (
+                holding.demand_at(now) >= quota_holdings.MIN_DEMAND
+            )
             entries.append(
                 [
                     holding.account.name,
                     waiting,
                     ahead,
                     holding.released,
-                    holding.stays,
+                    holding.will_report,
                 ]
             )
             holding.asked += waiting + ahead
@@ -316,8 +321,8 @@
         or holding.released
         or holding.waiting
         or holding.asked
-        or holding.stays
-        or holding.demand_at(now) >= 0.01
+        or holding.will_report
+        or holding.demand_at(now) >= MIN_KEPT_DEMAND
     )
 
 
@@ -326,11 +331,11 @@
     if holding.waiting > holding.asked or holding.released:
         return True
     if (
-        holding.stays
+        holding.will_report
         and now - holding.reported_at >= quota_holdings.REPORT_SECONDS
     ):
         return True
-    return holding.stays and holding.ahead(now) > 0
+    return holding.will_report and holding.ahead(now) > 0
 
 
 def _is_grant_entry(entry: Any) -> bool:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -244,7 +244,7 @@
     for number in range(20_000):
         owner.request("10.0.0.9", messages.QuotaRequest(number, []), 0.5)
     owner.tick(1.1)
-    assert owner.interval > 2.0 and owner.crowded
+    assert owner.interval > 2.0 and owner.oversubscribed
 
 
 def test_malformed_entries_are_ignored():
