--- a/review/standins_2/upstream.py
+++ b/review/standins_2/upstream.py
@@ -7,7 +7,8 @@
 
 from review.standins_2 import messages
 
-HEARTBEAT_SECONDS = 0.87
+# heartbeat_ms of the example in DEPLOY.md.
+HEARTBEAT_SECONDS = 1.5
 RESET_OPTION = struct.pack("ii", 1, 0)
 
 
@@ -43,8 +44,10 @@
         self.work_seconds = lambda message: 0.02
         self.crashes = lambda message: False
         self.down_seconds = 2.0
+        self.heartbeat_seconds = HEARTBEAT_SECONDS
         self.keeps_id = False
         self.arrivals = []
+        self.health_checks = []
         self.crashed = []
         self.starts = 0
         self.sequence = 0
@@ -97,7 +100,7 @@
             self.start()
             if not self.keeps_id:
                 # Three heartbeats of silence after the crash.
-                silence = 3 * HEARTBEAT_SECONDS - self.down_seconds
+                silence = 3 * self.heartbeat_seconds - self.down_seconds
                 self.is_closed.wait(max(0.0, silence))
                 self.store.delete(f"servers/{instance}")
 
@@ -117,25 +120,33 @@
     def register(self):
         """Write the entry of the running process."""
         self.sequence += 1
-        self.store.put(
-            f"servers/{self.instance}",
-            {
-                "service": self.machine.service,
-                "address": f"{self.machine.address}:{self.port}",
-                "zone": self.machine.zone,
-                "version": "v1",
-                "concurrency": self.slots,
-                "phase": self.phase,
-                "warmup_left_ms": 0,
-                "seq": self.sequence,
-                "born": self.born,
-            },
-        )
+        self.store.put(f"servers/{self.instance}", self.entry())
+
+    def entry(self):
+        """Return what the process says of itself."""
+        return {
+            "service": self.machine.service,
+            "address": f"{self.machine.address}:{self.port}",
+            "zone": self.machine.zone,
+            "version": "v1",
+            "concurrency": self.slots,
+            "phase": self.phase,
+            "warmup_left_ms": 0,
+            "seq": self.sequence,
+            "born": self.born,
+        }
+
+    def health_headers(self):
+        """Return further headers of health answers."""
+        return []
 
     def _beat(self, listener):
+        self.beat_at = time.monotonic()
         while self.listener is listener:
-            self.register()
-            self.is_closed.wait(HEARTBEAT_SECONDS)
+            if time.monotonic() >= self.beat_at:
+                self.register()
+                self.beat_at += self.heartbeat_seconds
+            self.is_closed.wait(0.02)
 
     # Requests.
 
@@ -173,7 +184,9 @@
         if message is None or self.listener is not listener:
             return False
         if message.target == "/healthz":
-            self._answer(connection, message, 200, b"")
+            self.health_checks.append(time.monotonic())
+            extra = self.health_headers()
+            self._answer(connection, message, 200, b"", extra=extra)
             return not message.closes
         expected = message.headers.get("hickorythread-expect-instance")
         if expected not in (None, self.instance):
@@ -218,8 +231,11 @@
         """Return the only body that belongs to a request."""
         return f"{arrival.instance} ran {arrival.attempt_id}\n".encode()
 
-    def _answer(self, connection, message, status, body, is_run=True):
+    def _answer(
+        self, connection, message, status, body, is_run=True, extra=()
+    ):
         headers = [
+            *extra,
             ("Hickorythread-Instance-Id", self.instance),
             (
                 "Hickorythread-Instance-Load",
