--- a/review/standins_2/client.py
+++ b/review/standins_2/client.py
@@ -59,7 +59,9 @@
             ("Hickorythread-Deadline-Ms", deadline_ms),
             *extra_headers,
         ]
-        data = messages.render(f"{method} {path} HTTP/1.1", headers, body)
+        data = messages.render(
+            f"{method} {path} HTTP/1.1", headers, body, method != "GET"
+        )
         attempt.sent_at = time.monotonic()
         try:
             with socket.create_connection(
--- a/review/standins_2/messages.py
+++ b/review/standins_2/messages.py
@@ -28,11 +28,12 @@
         return "close" in self.headers.get("connection", "").lower()
 
 
-def render(start_line, headers, body=b""):
-    """Return the bytes of a message; its length is stated."""
+def render(start_line, headers, body=b"", states_length=True):
+    """Return the bytes of a message."""
     lines = [start_line]
     lines += [f"{name}: {value}" for name, value in headers]
-    lines.append(f"Content-Length: {len(body)}")
+    if states_length:
+        lines.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
