--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,83 +1,33 @@
-"""A request that crashes upstreams, and one sidecar that is restarted.
+"""A request header whose name has an underscore: Content_Length.
 
-Prints the verdict and exits with 1 if BUDGET was broken, 0 if it held and 2
-if the case could not run. TROUBLE=0 leaves out the restart of the sidecar.
+Exits with 1 if CONFIG was broken, 0 if it held and 2 if the case could not
+run. With TROUBLE=0 the header is named Document-Length.
 """
 
-import collections
 import os
 import pathlib
 import shutil
+import socket
 import sys
 import tempfile
 import time
 
 from review.standins_2 import client
+from review.standins_2 import cold
 from review.standins_2 import deployment
+from review.standins_2 import messages
 from review.standins_2 import record
 from review.standins_2 import store
 from review.standins_2 import upstream
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ZONES = {"launceston": "north-tas", "hobart": "south-tas"}
-CONTACT_SECONDS = 3.0
-MAX_RETRIES = 3
-POISON = "/spec/poison"
-# Seconds since the traffic starts.
-POISON_FROM = 1.0
-FIRST_CRASHES_SECONDS = 12.0
-KILL_AT = 13.0
-RESTART_AT = 13.5
-POISON_AGAIN_AT = 19.0
-END_AT = 62.0
-
-
-def configuration():
-    return {
-        "version": 7,
-        "services": [
-            {
-                "name": "spec-desk",
-                "health_path": "/healthz",
-                "max_conns": 120,
-                "protocol": "h1",
-                "tls": False,
-                "warmup_s": 3.0,
-                "warmup_per_s": 16.0,
-            }
-        ],
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1048576,
-            "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000,
-        },
-        "base_ver": 5,
-        "hosts": [
-            {
-                "host": "a.example",
-                "paths": [
-                    route("spec", "/spec/", "idempotent", 2),
-                    route("lodge", "/lodge/", "non_idempotent", 1),
-                ],
-            }
-        ],
-    }
-
-
-def route(name, prefix, kind, priority):
-    return {
-        "name": name,
-        "prefix": prefix,
-        "type": kind,
-        "timeout_ms": 1200,
-        "slo_ms": 600,
-        "priority": priority,
-        "service": "spec-desk",
-        "attempts": 2,
-        "allowed_regions": [],
-    }
+HEADER = "Content_Length" if TROUBLE else "Document-Length"
+COUNT = 40
+# The client waits longer than the route lets it be kept waiting.
+DEADLINE_MS = 3000
+TIMEOUT_SECONDS = 1.2
+ALLOWED_LATE_SECONDS = 0.5
 
 
 class Case:
@@ -85,11 +35,11 @@
         self.record = record.Record(FOLDER / "record.txt")
         self.store = store.Store()
         self.machines = [
-            deployment.Machine(f"127.0.0.{number + 21}", zone, "spec-desk")
-            for number, zone in enumerate([*ZONES, *ZONES])
+            deployment.Machine(f"127.0.0.{number + 41}", zone, "spec-desk")
+            for number, zone in enumerate(cold.ZONES)
         ]
         self.deployment = deployment.Deployment(
-            folder, self.machines, ZONES, self.store.address
+            folder, self.machines, cold.ZONES, self.store.address
         )
         self.upstreams = [
             upstream.Upstream(
@@ -101,78 +51,60 @@
             )
             for number, machine in enumerate(self.machines, 1)
         ]
-        for item in self.upstreams:
-            item.work_seconds = lambda message: 0.3
-            item.crashes = lambda message: message.target == POISON
         self.clients = client.Clients(
             self.deployment.outbound_port, "a.example", self.record.line
         )
-        self.lodged = collections.Counter()
 
     def run(self):
-        self.store.put("op/config", configuration())
+        self.store.put("op/config", cold.configuration())
         for item in self.upstreams:
             item.start()
         for machine in self.machines:
             self.deployment.start(machine)
         self.deployment.wait_until_ready()
-        time.sleep(CONTACT_SECONDS)
-        self.started_at = time.monotonic()
-        self.record.say("traffic starts")
-        for machine in self.machines:
-            self.clients.repeat(
-                0.25, self.at(END_AT), lambda at=machine: self.order(at)
-            )
-            # The machines take turns, so that no two copies come at once.
-            self.clients.repeat(
-                1.0, self.at(END_AT), lambda at=machine: self.poison(at)
-            )
-            time.sleep(1.0 / len(self.machines))
-        self.restart_one()
-        self.wait_until(END_AT)
+        time.sleep(3.0)
+        self.record.say(f"clients send {COUNT} requests with {HEADER}: 120")
+        numbers = iter(range(1, COUNT + 1))
+        self.clients.repeat(
+            0.1, time.monotonic() + 0.1 * COUNT, lambda: self.lookup(numbers)
+        )
+        time.sleep(0.1 * COUNT + DEADLINE_MS / 1000 + 1.0)
         self.clients.finish()
+        self.send_ahead()
 
-    def at(self, seconds):
-        return self.started_at + seconds
-
-    def wait_until(self, seconds):
-        time.sleep(max(0.0, self.at(seconds) - time.monotonic()))
-
-    def order(self, machine):
-        self.lodged[machine.address] += 1
-        number = self.lodged[machine.address]
-        return {
-            "machine": machine,
-            "method": "POST",
-            "path": f"/lodge/{machine.address}/{number}",
-            "body": b"one tank",
-            "kind": "lodge",
-        }
-
-    def poison(self, machine):
-        now = time.monotonic() - self.started_at
-        is_first = POISON_FROM <= now < FIRST_CRASHES_SECONDS
-        if not is_first and now < POISON_AGAIN_AT:
+    def lookup(self, numbers):
+        number = next(numbers, None)
+        if number is None:
             return None
         return {
-            "machine": machine,
+            "machine": self.machines[number % 2],
             "method": "GET",
-            "path": POISON,
-            "kind": "poison",
+            "path": f"/spec/{number}",
+            "deadline_ms": DEADLINE_MS,
+            "extra_headers": [(HEADER, 120)],
         }
 
-    def restart_one(self):
-        self.wait_until(KILL_AT)
-        machine = self.machines[0]
-        if TROUBLE:
-            machine.process.kill()
-            machine.process.wait()
-            self.record.say(f"SIGKILL of the sidecar on {machine.address}")
-            self.wait_until(RESTART_AT)
-            self.deployment.start(machine)
-            self.record.say(f"start of the sidecar on {machine.address}")
-        self.deployment.wait_until_ready([machine])
-        self.wait_until(POISON_AGAIN_AT)
+    def send_ahead(self):
+        """Send two requests on one connection, the second with a body.
+
+        The body is the text of a third request.
+        """
+        address = (self.machines[0].address, self.deployment.outbound_port)
+        inner = request("POST", "/lodge/in-the-body", "inner", b"")
+        second = request("POST", "/lodge/second", "second", inner)
+        before_body = len(second) - len(inner)
+        first = request(
+            "GET", "/spec/first", "first", None, [(HEADER, before_body)]
+        )
+        with socket.create_connection(address, 1.0) as connection:
+            connection.settimeout(3.0)
+            connection.sendall(first + second)
+            try:
+                with connection.makefile("rb") as reader:
+                    while (answer := messages.read(reader)) is not None:
+                        self.record.line(f"answer: {answer.start_line}")
+            except (OSError, ValueError) as error:
+                self.record.line(f"no further answer: {error}")
 
     def judge(self):
         """Return whether the rule held."""
@@ -181,35 +113,34 @@
         ]
         self.record.attempts(self.clients.attempts)
         self.record.arrivals(arrivals)
-        poison = sorted(
-            (item for item in arrivals if item.message.target == POISON),
-            key=lambda item: item.at,
+        late, unanswered = 0, 0
+        for item in self.clients.attempts:
+            took = item.ended_at - item.sent_at
+            if item.status is None or took > TIMEOUT_SECONDS:
+                late += 1
+                if (
+                    item.status is None
+                    or took > TIMEOUT_SECONDS + ALLOWED_LATE_SECONDS
+                ):
+                    unanswered += 1
+        self.record.say(
+            f"{len(self.clients.attempts)} requests; {late} without an answer "
+            f"at timeout_ms, {unanswered} of them without one half a second "
+            "later (allowed: half)"
         )
-        if len(poison) < 3:
-            raise deployment.SetUpError("the request has not crashed three")
-        bound = poison[2].at + CONTACT_SECONDS
-        sent_at = {item.id: item.sent_at for item in self.clients.attempts}
-        late = [
-            item
-            for item in poison
-            if sent_at[item.attempt_id] > max(bound, self.at(POISON_AGAIN_AT))
-        ]
-        retries = sorted({item.attempt_id for item in late})
-        lost = [
+        unsent = [
             item
             for item in arrivals
-            if item.outcome == "lost in a crash" and item.at > bound
+            if item.attempt_id == "inner" or item.message.body[:4] == b"POST"
         ]
-        self.record.say(
-            f"the third crash was at "
-            f"{poison[2].at - self.record.started_at:.1f} s; requests that "
-            f"crash upstreams and reached one more than {CONTACT_SECONDS:.0f} "
-            f"s later: {len(retries)} {retries} (bound {MAX_RETRIES})"
-        )
-        self.record.say(
-            f"requests under way that were lost in these crashes: {len(lost)}"
-        )
-        return len(retries) <= MAX_RETRIES
+        for item in unsent:
+            if item.attempt_id != "second":
+                self.record.say(
+                    f"an upstream ran {item.message.method} "
+                    f"{item.message.target} with the body "
+                    f"{item.message.body[:30]!r}, which no client sent so"
+                )
+        return unanswered <= late / 2
 
     def close(self):
         self.clients.stopped.set()
@@ -220,11 +151,25 @@
         self.record.close()
 
 
+def request(method, path, attempt_id, body, extra_headers=()):
+    headers = [
+        ("Host", "a.example"),
+        ("Hickorythread-Attempt-Id", attempt_id),
+        ("Hickorythread-Deadline-Ms", 1500),
+        *extra_headers,
+    ]
+    if body is not None:
+        headers.append(("Content-Length", len(body)))
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
+
+
 def main():
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="case-6-"))
+    work = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
     case = None
     try:
-        case = Case(folder)
+        case = Case(work)
         case.run()
         held = case.judge()
     except (deployment.SetUpError, OSError) as error:
@@ -233,11 +178,8 @@
     finally:
         if case is not None:
             case.close()
-        if os.environ.get("KEEP"):
-            print(folder)
-        else:
-            shutil.rmtree(folder, ignore_errors=True)
-    print("BUDGET held" if held else "BUDGET was broken")
+        shutil.rmtree(work, ignore_errors=True)
+    print("CONFIG held" if held else "CONFIG was broken")
     return 0 if held else 1
 
 
