Add review case 10: after its refusal a crashing request runs at every host

Seen with 'sh review/10/run.sh': 7 client attempts reach upstreams more than 3 s after the third crash, where 3 are allowed; all upstreams of the service crash within 0.2 s, and accepted orders are lost.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # Python modules of the standard library alone, so that compiling them is all;
 # the sidecars are built by the build of the deploy file.
 cd "$(dirname "$0")/.." || exit 2
-exec python3 -m compileall -q review/standins_2 review/6 review/7 review/8
+exec python3 -m compileall -q review/standins_2 review/6 review/7 review/8 review/10
--- a/review/standins_2/upstream.py
+++ b/review/standins_2/upstream.py
@@ -43,6 +43,7 @@
         self.queue = 4 * slots
         self.work_seconds = lambda message: 0.02
         self.crashes = lambda message: False
+        self.crash_after_seconds = 0.0
         self.down_seconds = 2.0
         self.heartbeat_seconds = HEARTBEAT_SECONDS
         self.keeps_id = False
@@ -196,7 +197,9 @@
         self.arrivals.append(arrival)
         if self.crashes(message):
             arrival.outcome = "crashed the upstream"
-            self.crash()
+            time.sleep(self.crash_after_seconds)
+            if self.listener is listener:
+                self.crash()
             return False
         if not self._take_slot():
             arrival.outcome = "not executed"
