--- a/review/standins_3/mesh.py
+++ b/review/standins_3/mesh.py
@@ -430,7 +430,7 @@
         out[1].close()
 
     async def _copy(self, reader, writer, state, names):
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
             while data := await reader.read(65_536):
                 if not state.silent:
                     writer.write(data)
