review: Show an upstream that becomes cold between two heartbeats

Case 12: with the store up nobody asks a target in use for its health, so that one that becomes cold again gets the full rate until its next entry.

--- a/review/standins_3/mesh.py
+++ b/review/standins_3/mesh.py
@@ -39,6 +39,13 @@
 LAST_PORT = 31_000
 IDLE_SECONDS = 10.0
 SLOTS = 12
+# heartbeat_ms and warmup_s.
+BEAT_SECONDS = 1.5
+WARMUP_SECONDS = 3.0
+# What a cold upstream tolerates in a second: warmup_per_s x warmup_overage +
+# warmup_slack. It breaks down at a rate well above that.
+COLD_LIMIT = 16.0 * 1.5 + 5
+BREAKS_AT = 1.5 * COLD_LIMIT
 
 
 def find_ports(count):
@@ -250,6 +257,9 @@
 
     def close(self):
         """End the processes that were started."""
+        # What the stand-ins still wait for is of no interest.
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
         running = [host.process for host in self.hosts if host.process]
         for process in running:
             if process.poll() is None:
@@ -299,11 +309,47 @@
         self.runs = []
         self.stamps = {}
         self.server = None
+        self.seq = 0
+        self.born = int(time.time() * 1000) - 60_000
+        self.beaten = asyncio.Event()
+        # Until when it is cold, and when requests have arrived meanwhile.
+        self.cold_until = 0.0
+        self.cold_arrivals = []
+        self.writers = set()
+        self.running = set()
+        # The requests that ran as it broke down.
+        self.lost = []
 
     async def start(self):
         self.server = await asyncio.start_server(
             self._serve, self.host.address, self.host.ports["target"]
         )
+        self.write_entry()
+
+    @property
+    def warmup_ms(self):
+        """How long it stays cold."""
+        left = self.cold_until - time.monotonic()
+        return max(0, int(left * 1000))
+
+    def become_cold(self):
+        self.cold_until = time.monotonic() + WARMUP_SECONDS
+
+    async def beat(self):
+        """Write the entry once in a heartbeat."""
+        while True:
+            await asyncio.sleep(BEAT_SECONDS)
+            self.write_entry()
+            self.beaten.set()
+
+    async def next_beat(self):
+        """Wait for the next heartbeat."""
+        self.beaten.clear()
+        await self.beaten.wait()
+
+    def write_entry(self):
+        self.seq += 1
+        self.mesh.record.note("entry", self.instance, self.warmup_ms)
         self.mesh.store.put(
             f"servers/{self.instance}",
             {
@@ -313,21 +359,35 @@
                 "version": "v1",
                 "concurrency": SLOTS,
                 "phase": "ready",
-                "warmup_left_ms": 0,
-                "seq": 1,
-                "born": int(time.time() * 1000) - 60_000,
+                "warmup_left_ms": self.warmup_ms,
+                "seq": self.seq,
+                "born": self.born,
             },
         )
 
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
                 pass
         except (TimeoutError, OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
+    def _arrived_cold(self):
+        """Count a request that arrives while it is cold; it may break down."""
+        now = time.monotonic()
+        self.cold_arrivals.append(now)
+        recent = sum(now - at < 1.0 for at in self.cold_arrivals)
+        if recent > BREAKS_AT and not self.lost:
+            self.lost = sorted(self.running)
+            self.mesh.record.note("breaks down", self.instance, *self.lost)
+            self.server.close()
+            for writer in self.writers:
+                writer.transport.abort()
+
     async def _serve_one(self, reader, writer):
         first, headers, body = await asyncio.wait_for(
             read_message(reader), IDLE_SECONDS
@@ -338,14 +398,20 @@
         if request_id:
             lines.append(f"{ID}: {request_id}")
         if path == "/healthz":
+            self.mesh.record.note("health", self.instance, self.warmup_ms)
+            lines.append(f"Hickorythread-Warmup-Ms: {self.warmup_ms}")
             return await self._send(writer, 200, lines, b"")
         if headers.get("hickorythread-expect-instance") != self.instance:
             lines.append(f"{NOT_RUN}: 1")
             return await self._send(writer, 421, lines, b"")
         self.runs.append(request_id)
         self.mesh.record.note("run", request_id, path, self.instance)
+        self.running.add(request_id)
+        if self.warmup_ms:
+            self._arrived_cold()
         size, work, sending = self.answer(path)
         await asyncio.sleep(work)
+        self.running.discard(request_id)
         stamp = f"{self.instance}.{request_id}.{len(self.runs)}"
         content = make_body(request_id, size)
         self.stamps[stamp] = content
@@ -430,7 +496,7 @@
         out[1].close()
 
     async def _copy(self, reader, writer, state, names):
-        with contextlib.suppress(OSError, asyncio.CancelledError):
+        with contextlib.suppress(OSError):
             while data := await reader.read(65_536):
                 if not state.silent:
                     writer.write(data)
