review: Show a crashing request on a split route

Case 13: crashes are counted by service, so that a request on a route that is split between two services crashes the upstreams of each as often as that of one.

--- a/review/standins_3/mesh.py
+++ b/review/standins_3/mesh.py
@@ -42,6 +42,9 @@
 # heartbeat_ms and warmup_s.
 BEAT_SECONDS = 1.5
 WARMUP_SECONDS = 3.0
+# From the return of a crashed upstream until its old entry lapses, three
+# heartbeats after the last one.
+LAPSE_SECONDS = 2.5
 # What a cold upstream tolerates in a second: warmup_per_s x warmup_overage +
 # warmup_slack. It breaks down at a rate well above that.
 COLD_LIMIT = 16.0 * 1.5 + 5
@@ -104,6 +107,14 @@
     return re.sub(r"\{\{([^}]+)\}\}", value, template)
 
 
+def _destinations(names):
+    """Return the fields of a route that name its services."""
+    parts = names.split(" ")
+    if len(parts) == 1:
+        return {"service": names}
+    return {"split": [{"service": name, "weight": 1} for name in parts]}
+
+
 class Mesh:
     """Hold the hosts, the store and the processes of the sidecars."""
 
@@ -189,7 +200,8 @@
     def publish(self, routes, version=7):
         """Write a configuration.
 
-        Each route is a prefix, a type, a service and a timeout in ms.
+        Each route is a prefix, a type, a service and a timeout in ms. Several
+        services, separated by blanks, get equal parts of it.
         """
         services = sorted({host.service for host in self.hosts})
         document = {
@@ -221,10 +233,10 @@
                             "timeout_ms": timeout_ms,
                             "slo_ms": timeout_ms // 2,
                             "priority": 1,
-                            "service": service,
                             "attempts": 2,
                             "allowed_regions": [],
                         }
+                        | _destinations(service)
                         for prefix, kind, service, timeout_ms in routes
                     ],
                 }
@@ -326,6 +338,26 @@
         )
         self.write_entry()
 
+    def stop(self):
+        """End as a process that crashes; return what it was running."""
+        lost = sorted(self.running)
+        self.mesh.record.note("crash", self.instance, "runs", *lost)
+        self.running.clear()
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        return lost
+
+    async def restart(self):
+        """Start as another process; the old entry lapses later."""
+        old = f"servers/{self.instance}"
+        head, _, number = self.instance.rpartition("-")
+        self.instance = f"{head}-{int(number) + 1}"
+        self.born = int(time.time() * 1000)
+        await self.start()
+        loop = asyncio.get_running_loop()
+        loop.call_later(LAPSE_SECONDS, self.mesh.store.delete, old)
+
     @property
     def warmup_ms(self):
         """How long it stays cold."""
@@ -376,17 +408,16 @@
             self.writers.discard(writer)
             writer.close()
 
+    def began(self, request_id, path):
+        """Note that a request has begun to run; for targets that crash."""
+
     def _arrived_cold(self):
         """Count a request that arrives while it is cold; it may break down."""
         now = time.monotonic()
         self.cold_arrivals.append(now)
         recent = sum(now - at < 1.0 for at in self.cold_arrivals)
         if recent > BREAKS_AT and not self.lost:
-            self.lost = sorted(self.running)
-            self.mesh.record.note("breaks down", self.instance, *self.lost)
-            self.server.close()
-            for writer in self.writers:
-                writer.transport.abort()
+            self.lost = self.stop()
 
     async def _serve_one(self, reader, writer):
         first, headers, body = await asyncio.wait_for(
@@ -407,6 +438,7 @@
         self.runs.append(request_id)
         self.mesh.record.note("run", request_id, path, self.instance)
         self.running.add(request_id)
+        self.began(request_id, path)
         if self.warmup_ms:
             self._arrived_cold()
         size, work, sending = self.answer(path)
