--- a/review/standins_3/mesh.py
+++ b/review/standins_3/mesh.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT))
@@ -558,3 +559,13 @@
         return int(first.split(" ")[1]), headers, content
     finally:
         writer.close()
+
+
+def run_case(main):
+    """Return the exit status of a case, 2 if it couldn't run."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    try:
+        return asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        return 2
