Tell an end that this process made from the end of an answer

Cancelling a run shuts its connection down, and the task that reads from it took this for the end of an answer without a length. The same holds for the store's watch that is ended because it is dead.

Connection.abort() now marks the reader before it shuts the socket down, and the reader raises ConnectionAbortedError at an end that follows. What had arrived is still read, so that a whole answer with a length stays whole. The older node's target client uses abort() too.

--- a/src/hickorythread/adapters.py
+++ b/src/hickorythread/adapters.py
@@ -199,11 +199,11 @@
 class _Run:
     """Hold the state of one request that another task may abort."""
 
-    __slots__ = ("deadline", "sock", "cancelled", "expired")
+    __slots__ = ("deadline", "connection", "cancelled", "expired")
 
     def __init__(self, deadline: float) -> None:
         self.deadline = deadline
-        self.sock: Any = None
+        self.connection: http_client.Connection | None = None
         self.cancelled = False
         self.expired = False
 
@@ -267,10 +267,10 @@
         if run is None:
             return
         run.cancelled = True
-        if run.sock is None or self._send_cancel(action.run_id):
+        if run.connection is None or self._send_cancel(action.run_id):
             return
-        if run.sock is not None:
-            http_client.shut_down(run.sock)
+        if run.connection is not None:
+            run.connection.abort()
 
     def expire(self, now: float) -> int:
         """Abort runs that are past their deadline and return their number.
@@ -280,10 +280,10 @@
         """
         expired = 0
         for run in list(self._runs.values()):
-            if run.sock is not None and now > run.deadline:
+            if run.connection is not None and now > run.deadline:
                 run.expired = True
                 expired += 1
-                http_client.shut_down(run.sock)
+                run.connection.abort()
         return expired
 
     def close(self) -> None:
@@ -328,12 +328,12 @@
             remaining = action.deadline - self.clock.monotonic()
             if remaining <= 0 or run.cancelled:
                 return "late"
-            run.sock = connection.sock
-            run.sock.settimeout(remaining)
+            run.connection = connection
+            connection.sock.settimeout(remaining)
             deadline_ms = int((self.clock.wall() + remaining) * 1000)
             head += b"X-Deadline-Unix-Ms: %d\r\n\r\n" % deadline_ms
             connection.reader.limit(remaining)
-            http_client.send(run.sock, head, action.body, remaining)
+            http_client.send(connection.sock, head, action.body, remaining)
             answer, reusable = self._receive(connection, action)
             return answer
         except TimeoutError:
@@ -346,10 +346,10 @@
         ):
             # ValueError stands for a head that cannot be sent, and for a
             # malformed chunk size in http.client.
-            return "lost" if run.sock is not None else "late"
+            return "lost" if run.connection is not None else "late"
         finally:
             # Once released, the connection may serve another run.
-            run.sock = None
+            run.connection = None
             if reusable:
                 self._release(connection)
             else:
--- a/src/hickorythread/connection_reader.py
+++ b/src/hickorythread/connection_reader.py
@@ -1,5 +1,6 @@
 """Buffered reads from a socket that end by an absolute deadline."""
 
+import errno
 import math
 import time
 from typing import Any
@@ -24,6 +25,10 @@
     message. idle_timeout limits each single wait, in seconds. chunk_bytes
     limits what is received ahead. turn lets other tasks run while the peer
     always has more to read.
+
+    aborted tells that this process has shut the connection down. What had
+    arrived before can be read; then each call raises ConnectionAbortedError,
+    since that end is not the end of what the peer has to say.
     """
 
     __slots__ = (
@@ -35,6 +40,7 @@
         "chunk_bytes",
         "turn",
         "late_until",
+        "aborted",
     )
 
     def __init__(self, sock: Any) -> None:
@@ -46,6 +52,7 @@
         self.chunk_bytes = READ_CHUNK_BYTES
         self.turn = turns.Turn()
         self.late_until = math.inf
+        self.aborted = False
 
     def limit(self, seconds: float) -> None:
         """Set the deadline to so many seconds from now, math.inf for none."""
@@ -118,7 +125,12 @@
 
     def _receive(self, size: int) -> bytes:
         self._spend(turns.RECEIVE_UNITS)
-        return receive(self.sock, size, self._timeout(), self.turn)
+        data = receive(self.sock, size, self._timeout(), self.turn)
+        if self.aborted and not data:
+            raise ConnectionAbortedError(
+                errno.ECONNABORTED, "connection ended by this process"
+            )
+        return data
 
     def _spend(self, units: int) -> None:
         """Count work; raise TimeoutError if it goes on after the deadline."""
--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -235,6 +235,15 @@
         super().connect()
         self.reader = connection_reader.ConnectionReader(self.sock)
 
+    def abort(self) -> None:
+        """Shut the connection down; a task that reads from it gets an error.
+
+        The connection must have been opened.
+        """
+        self.reader.aborted = True
+        if self.sock is not None:
+            shut_down(self.sock)
+
 
 def read_response_head(
     connection: Connection,
@@ -413,7 +422,7 @@
     def interrupt(self) -> None:
         """End the exchanges that wait for a response; they raise."""
         for connection in self.in_use:
-            shut_down(connection.sock)
+            connection.abort()
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/src/hickorythread/mesh/target_client.py
+++ b/src/hickorythread/mesh/target_client.py
@@ -1,7 +1,6 @@
 """HTTP client of the local target; it never sends a request twice."""
 
 import http.client
-from typing import Any
 
 import eventlet
 import urllib3
@@ -62,10 +61,10 @@
 class _ActiveRequest:
     """Hold the state of a running request that another task can cancel."""
 
-    __slots__ = ("sock", "cancelled", "hold")
+    __slots__ = ("connection", "cancelled", "hold")
 
     def __init__(self, hold: memory_budget.Hold) -> None:
-        self.sock: Any = None
+        self.connection: http_client.Connection | None = None
         self.cancelled = False
         self.hold = hold
 
@@ -123,8 +122,8 @@
         if active is None:
             return
         active.cancelled = True
-        if active.sock is not None:
-            http_client.shut_down(active.sock)
+        if active.connection is not None:
+            active.connection.abort()
 
     def probe(self, path: str) -> events.TargetResponse | events.Failure:
         """Request the target's id and warm-up over a new connection."""
@@ -186,7 +185,7 @@
             connection.close()
             return events.Failure("late")
         reusable = False
-        active.sock = connection.sock
+        active.connection = connection
         try:
             self._send(connection, action, remaining)
             response, body = self._receive(connection, action, active)
@@ -201,7 +200,7 @@
         except (http.client.HTTPException, OSError, EOFError, ValueError) as e:
             return events.Failure("lost", _describe(e))
         finally:
-            active.sock = None
+            active.connection = None
             if not reusable:
                 connection.close()
 
