Let calls end only with the stream that carries them

A stream has an id now and a call notes its carrier, so that the end of a stream settles what it carried, at both ends; a host is lost with its last stream. A failed attempt and a full queue lose only their own messages. Silence is a state of a stream. The newest stream is used, as a host opens another one only when it has none, and the older one gets one probe. Both nodes had the fault.

--- a/src/hickorythread/entry.py
+++ b/src/hickorythread/entry.py
@@ -48,6 +48,7 @@
         "issues_key",
         "call_id",
         "host_id",
+        "stream_id",
         "target",
         "sent_at",
         "retried",
@@ -67,6 +68,8 @@
         self.issues_key = not (request.key or match.route.idempotent)
         self.call_id = 0
         self.host_id = ""
+        # The stream that carries the call, 0 until one does.
+        self.stream_id = 0
         self.target: balancer.Target | None = None
         self.sent_at = 0.0
         self.retried = False
@@ -179,10 +182,34 @@
             )
         return self._handle_reply(pending, message, now)
 
-    def stream_lost(self, host_id: str, now: float) -> list[events.Record]:
+    def call_carried(self, call_id: int, stream_id: int) -> None:
+        """Note on which stream a call leaves."""
+        pending = self.pending.get(call_id)
+        if pending is not None:
+            pending.stream_id = stream_id
+
+    def stream_lost(
+        self, host_id: str, stream_id: int, now: float
+    ) -> list[events.Record]:
         """Retry or fail the calls that a lost stream carried."""
+        calls = self.by_host.get(host_id, {}).values()
+        lost = [call for call in calls if call.stream_id == stream_id]
+        return self._lose(lost, now)
+
+    def call_lost(self, call_id: int, now: float) -> list[events.Record]:
+        """Retry or fail a call that no stream will carry."""
+        pending = self.pending.get(call_id)
+        return [] if pending is None else self._lose([pending], now)
+
+    def peer_lost(self, host_id: str, now: float) -> list[events.Record]:
+        """Retry or fail the calls to a node without a stream."""
+        return self._lose(list(self.by_host.get(host_id, {}).values()), now)
+
+    def _lose(
+        self, lost: list[PendingRequest], now: float
+    ) -> list[events.Record]:
         actions: list[events.Record] = []
-        for pending in list(self.by_host.get(host_id, {}).values()):
+        for pending in lost:
             self._remove_pending(pending)
             actions += self._handle_lost_call(pending, 503, "stream-lost", now)
         return actions
@@ -317,6 +344,7 @@
         self.last_call_id = call_id = self.last_call_id + 1
         pending.call_id = call_id
         pending.host_id = host_id
+        pending.stream_id = 0
         pending.target = target
         pending.sent_at = now
         if target is not None:
--- a/src/hickorythread/execution.py
+++ b/src/hickorythread/execution.py
@@ -199,14 +199,22 @@
 
     def peer_lost(self, host_id: str, now: float) -> list[events.Record]:
         """Cancel the calls of a lost peer and stop waiting for its acks."""
-        actions: list[events.Record] = []
-        for waiter in [item for item in self.accepted if item[0] == host_id]:
-            actions += self._cancel_call(waiter, now)
+        waiters = [item for item in self.accepted if item[0] == host_id]
+        actions = self.calls_lost(waiters, now)
         for report in list(self.reports.values()):
             if host_id in report.unacknowledged:
                 actions += self._handle_ack(report, host_id, now)
         return actions
 
+    def calls_lost(
+        self, waiters: list[Waiter], now: float
+    ) -> list[events.Record]:
+        """Cancel calls whose replies have no stream any more."""
+        actions: list[events.Record] = []
+        for waiter in waiters:
+            actions += self._cancel_call(waiter, now)
+        return actions
+
     def target_event(
         self,
         event: events.TargetAnswered | events.TargetFailed,
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -274,11 +274,31 @@
         )
 
     def peer_lost(self, host_id: str, now: float) -> Actions:
-        """Retry or fail the calls to a node whose stream was lost."""
+        """Stop the use of a node without a stream; settle its calls."""
         self.placement.connected.discard(host_id)
         self.quotas.hosts.remove(host_id, now)
+        return self._lose(self.calls.to_host(host_id), now)
+
+    def call_carried(self, call_id: int, stream_id: int) -> None:
+        """Note on which stream a call leaves."""
+        pending = self.calls.by_call_id.get(call_id)
+        if pending is not None:
+            pending.stream_id = stream_id
+
+    def stream_lost(self, stream_id: int, now: float) -> Actions:
+        """Retry or fail the calls that a lost stream carried."""
+        return self._lose(self.calls.on_stream(stream_id), now)
+
+    def call_lost(self, call_id: int, now: float) -> Actions:
+        """Retry or fail a call that no stream will carry."""
+        pending = self.calls.by_call_id.get(call_id)
+        return [] if pending is None else self._lose([pending], now)
+
+    def _lose(
+        self, lost: list[pending_request.PendingRequest], now: float
+    ) -> Actions:
         actions: Actions = []
-        for pending in self.calls.to_host(host_id):
+        for pending in lost:
             self._close(pending)
             actions += self._handle_unknown_outcome(
                 pending, 502, "stream-lost", now
@@ -292,7 +312,7 @@
         self.quotas.hosts.add(host_id)
 
     def peer_silent(self, host_id: str, silent: bool, now: float) -> Actions:
-        """Stop or resume the use of a node that does not respond.
+        """Stop or resume the use of a node that responds on no stream.
 
         Idempotent requests to a silent node are cancelled and retried. Others
         wait for its reply.
@@ -310,7 +330,18 @@
         ]
         if not silent:
             return actions
-        for pending in self.calls.to_host(host_id):
+        return actions + self._move(self.calls.to_host(host_id), now)
+
+    def stream_silent(self, stream_id: int, now: float) -> Actions:
+        """Move the requests on a stream whose node responds on another."""
+        return self._move(self.calls.on_stream(stream_id), now)
+
+    def _move(
+        self, overdue: list[pending_request.PendingRequest], now: float
+    ) -> Actions:
+        """Cancel and retry the idempotent ones of overdue requests."""
+        actions: Actions = []
+        for pending in overdue:
             if pending.route.idempotent:
                 cancel = self._cancel(pending)
                 self._close(pending)
@@ -385,11 +416,9 @@
             actions += self._give_up(pending, "stopping", now)
         return actions
 
-    def oldest_calls(self) -> dict[str, float]:
-        """Return when the oldest open call to each remote host was sent."""
-        oldest = self.calls.oldest_by_host()
-        oldest.pop(self.settings.host_id, None)
-        return oldest
+    def oldest_calls(self) -> dict[int, float]:
+        """Return when the oldest open call on each stream was sent."""
+        return self.calls.oldest_by_stream()
 
     def update_retry_budget(self) -> None:
         """Set the retry budget to this node's part of that of the mesh."""
@@ -430,6 +459,7 @@
         self.last_call_id += 1
         pending.call_id = self.last_call_id
         pending.host_id = target.host_id
+        pending.stream_id = 0
         pending.target_id = target.id
         pending.target_started_at_ms = target.started_at_ms
         pending.sent_at = now
--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -196,10 +196,17 @@
         return self._refuse(run, refusal)
 
     def peer_lost(self, host_id: str, now: float) -> list[events.Record]:
-        """Cancel the calls of an entry node that replies cannot reach."""
+        """Cancel the calls of an entry node without a stream."""
+        call_keys = [key for key in self.accepted if key[0] == host_id]
+        return self.calls_lost(call_keys, now)
+
+    def calls_lost(
+        self, call_keys: list[CallKey], now: float
+    ) -> list[events.Record]:
+        """Cancel calls whose replies have no stream any more."""
         actions: list[events.Record] = []
-        for call_key in [key for key in self.accepted if key[0] == host_id]:
-            actions += self.cancel(call_key[0], call_key[1], now)
+        for host_id, call_id in call_keys:
+            actions += self.cancel(host_id, call_id, now)
         return actions
 
     def handle_response(
--- a/src/hickorythread/mesh/links.py
+++ b/src/hickorythread/mesh/links.py
@@ -1,4 +1,4 @@
-"""Opens streams to peers and detects peers that stop responding."""
+"""Opens streams to peers and detects streams that stop responding."""
 
 from hickorythread import messages as base_messages
 from hickorythread import streams
@@ -11,7 +11,11 @@
 
 
 class PeerLinks:
-    """Decide when to open, probe and close the streams to peers."""
+    """Decide when to open, probe and close the streams to peers.
+
+    Each stream is judged by what is heard on it: a host whose older stream
+    has gone silent may respond on its newer one.
+    """
 
     def __init__(
         self,
@@ -24,8 +28,9 @@
         self.manager = manager
         self.peers: set[str] = set()
         self.missing_since: dict[str, float] = {}
-        self.probed_at: dict[str, float] = {}
-        self.silent: set[str] = set()
+        # When the peer was asked to respond on a stream, which it has not
+        # done since.
+        self.probed_at: dict[streams.Stream, float] = {}
 
     def set_peers(self, host_ids: set[str]) -> None:
         """Replace the set of hosts to which streams are kept open."""
@@ -51,48 +56,50 @@
                 hosts.append(host_id)
         return hosts
 
+    def probe(self, stream: streams.Stream, now: float) -> None:
+        """Ask the peer to respond on a stream."""
+        self.probed_at[stream] = now
+        stream.send(base_messages.ClockProbe(now))
+
     def check_liveness(
-        self, oldest_calls: dict[str, float], now: float
-    ) -> list[tuple[str, bool]]:
-        """Probe hosts with overdue responses; return those that changed.
+        self, oldest_calls: dict[int, float], now: float
+    ) -> list[tuple[streams.Stream, bool]]:
+        """Probe streams with overdue responses; return those that changed.
 
-        oldest_calls maps each host to the send time of its oldest call
-        without a response. The result pairs a host with True if it has
-        become silent, and with False if it is not silent any more. The stream
-        to a silent host is kept as long as it has open calls: the host may
-        still be at work on them and respond.
+        oldest_calls maps the id of each stream to the send time of its oldest
+        call without a response. The result pairs a stream with True if it has
+        become silent, and with False if it is not silent any more. A silent
+        stream is kept as long as it has open calls: the host may still be at
+        work on them and respond.
         """
-        changed: list[tuple[str, bool]] = []
-        for host_id in list(self.silent):
-            stream = self.manager.find(host_id)
-            has_response = stream is not None and (
-                stream.heard_at > self.probed_at[host_id]
-            )
-            if stream is None or has_response:
-                self.silent.discard(host_id)
-                self.probed_at.pop(host_id, None)
-                changed.append((host_id, False))
+        changed: list[tuple[streams.Stream, bool]] = []
+        for stream, probed_at in list(self.probed_at.items()):
+            if stream.closed or stream.heard_at > probed_at:
+                del self.probed_at[stream]
+                if stream.silent:
+                    stream.silent = False
+                    changed.append((stream, False))
+            elif not stream.silent:
+                is_waiting = stream.id in oldest_calls or not self._is_in_use(
+                    stream
+                )
+                if is_waiting and now - probed_at >= SILENCE_TIMEOUT_SECONDS:
+                    stream.silent = True
+                    changed.append((stream, True))
             elif (
-                host_id not in oldest_calls
-                and now - self.probed_at[host_id] > CLOSE_TIMEOUT_SECONDS
+                stream.id not in oldest_calls
+                and now - probed_at > CLOSE_TIMEOUT_SECONDS
             ):
                 stream.close("no response")
-        for host_id, sent_at in oldest_calls.items():
-            if host_id not in self.silent:
-                if self._is_silent(host_id, sent_at, now):
-                    self.silent.add(host_id)
-                    changed.append((host_id, True))
+        for stream_id, sent_at in oldest_calls.items():
+            carrier = self.manager.by_id.get(stream_id)
+            if carrier is not None and carrier not in self.probed_at:
+                quiet_since = max(carrier.heard_at, sent_at)
+                if now - quiet_since >= SILENCE_TIMEOUT_SECONDS:
+                    self.probe(carrier, now)
         return changed
 
-    def _is_silent(self, host_id: str, sent_at: float, now: float) -> bool:
-        stream = self.manager.find(host_id)
-        if stream is None:
-            return False
-        probed_at = self.probed_at.get(host_id, 0.0)
-        if stream.heard_at >= probed_at:
-            quiet_since = max(stream.heard_at, sent_at)
-            if now - quiet_since >= SILENCE_TIMEOUT_SECONDS:
-                self.probed_at[host_id] = now
-                stream.send(base_messages.ClockProbe(now))
-            return False
-        return now - probed_at >= SILENCE_TIMEOUT_SECONDS
+    def _is_in_use(self, stream: streams.Stream) -> bool:
+        """Return whether messages to the host leave on this stream."""
+        peer = stream.peer
+        return peer is None or self.manager.find(peer.host_id) is stream
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -336,13 +336,33 @@
                 self.streams.send(
                     host_id, exchange.make_notice(self.view, False)
                 )
-            for host_id, silent in self.links.check_liveness(
+            for stream, silent in self.links.check_liveness(
                 self.entry.oldest_calls(), now
             ):
-                self.perform(self.entry.peer_silent(host_id, silent, now))
+                self._liveness_changed(stream, silent, now)
             self.synchronizer.request_if_behind(now)
             self.synchronizer.check_with_peer(now)
 
+    def _liveness_changed(
+        self, stream: streams.Stream, silent: bool, now: float
+    ) -> None:
+        """Move requests off a silent stream; use a host that responds."""
+        if stream.peer is None:
+            return
+        host_id = stream.peer.host_id
+        self._update_silence(host_id, now)
+        if silent:
+            self.perform(self.entry.stream_silent(stream.id, now))
+        elif len(self.streams.by_host.get(host_id, ())) > 1:
+            # An older announcement may still arrive on one of them.
+            self.streams.send(host_id, self.execution.state())
+
+    def _update_silence(self, host_id: str, now: float) -> None:
+        """Use a host only if a stream to it responds."""
+        stream = self.streams.find(host_id)
+        silent = stream is not None and stream.silent
+        self.perform(self.entry.peer_silent(host_id, silent, now))
+
     def _check_source(self, topic: str) -> None:
         """Ask the source for changes that the watch has missed."""
         while True:
@@ -437,12 +457,18 @@
             refusal = call_memory.refuse(message)
             self.perform(self.entry.reply(host_id, refusal, now))
         else:
-            stream = self.streams.find(host_id)
-            if stream is None or not stream.send(message):
-                # The calls that it leaves open end at their deadlines.
-                self.spawn_request(
-                    _do_nothing, self.stream_closed, host_id, "not connected"
-                )
+            self._send_to_peer(host_id, message)
+
+    def _send_to_peer(self, host_id: str, message: Any) -> None:
+        """Send a message on a stream; a call ends with its stream."""
+        stream = self.streams.find(host_id)
+        if stream is not None:
+            if isinstance(message, messages.Forward):
+                self.entry.call_carried(message.call_id, stream.id)
+            if stream.send(message):
+                return
+        # A call that this leaves open ends at its deadline.
+        self.spawn_request(_do_nothing, self._message_unsent, host_id, message)
 
     def _send_to_self(self, message: Any, now: float) -> None:
         host_id = self.settings.host_id
@@ -537,34 +563,67 @@
 
     # Stream events.
 
-    def stream_opened(self, peer: base_events.Peer) -> None:
+    def stream_opened(self, stream: streams.Stream) -> None:
         """Send this node's state to a newly connected node."""
+        peer = stream.peer
+        if peer is None:
+            return
+        now = self.clock.monotonic()
+        for other in self.streams.by_host[peer.host_id]:
+            if other is not stream:
+                # The peer may have lost it, as it has opened another one.
+                self.links.probe(other, now)
         self.entry.peer_connected(peer.host_id)
-        self.streams.send(peer.host_id, self.execution.state())
+        stream.send(self.execution.state())
         for end in self.view.ends.on_host(peer.host_id):
             message = messages.TargetEnd(end.target_id, end.started_at_ms)
-            self.streams.send(peer.host_id, message)
+            stream.send(message)
         for crash in self.execution.suspects.known_crashes():
-            self.streams.send(peer.host_id, crash)
+            stream.send(crash)
         self.synchronizer.peer_connected(peer)
         logs.info("peer_connected", peer=peer.host_id)
 
-    def stream_closed(self, host_id: str, reason: str) -> None:
-        """Fail the calls of a lost stream and update the peer's state."""
+    def stream_closed(self, stream: streams.Stream, reason: str) -> None:
+        """Settle the calls that a lost stream carried, in both directions."""
+        if stream.peer is None:
+            return
+        host_id = stream.peer.host_id
         now = self.clock.monotonic()
-        for key in [key for key in self.reply_streams if key[0] == host_id]:
-            if self.reply_streams[key].closed:
-                del self.reply_streams[key]
+        self.perform(self.entry.stream_lost(stream.id, now))
+        # Replies to calls on the closed stream never leave on another.
+        keys = streams.take_calls(self.reply_streams, stream)
+        self.perform(self.execution.calls_lost(keys, now))
         if self.streams.find(host_id) is not None:
-            # Replies to calls on the closed stream never arrive on another.
-            reason = f"one of several: {reason}"
+            logs.info("stream_lost", peer=host_id, reason=reason)
+            self._update_silence(host_id, now)
+        self._check_connected(host_id, reason)
+
+    def connect_failed(self, host_id: str, reason: str) -> None:
+        """Handle that no stream to a host can be opened now."""
+        self._check_connected(host_id, reason)
+
+    def message_carried(self, stream: streams.Stream, message: Any) -> None:
+        """Do nothing: the calls of a sidecar are no timed messages."""
+
+    def message_unsent(self, host_id: str, message: Any, reason: str) -> None:
+        """Settle a call that no stream will carry."""
+        self._message_unsent(host_id, message)
+
+    def _message_unsent(self, host_id: str, message: Any) -> None:
+        if isinstance(message, messages.Forward):
+            now = self.clock.monotonic()
+            self.perform(self.entry.call_lost(message.call_id, now))
+        self._check_connected(host_id, streams.NOT_CONNECTED)
+
+    def _check_connected(self, host_id: str, reason: str) -> None:
+        """Stop the use of a host that has no stream left."""
+        if self.streams.find(host_id) is not None:
+            return
+        now = self.clock.monotonic()
         was_connected = host_id in self.entry.placement.connected
         self.perform(self.entry.peer_lost(host_id, now))
         self.perform(self.execution.peer_lost(host_id, now))
-        if self.streams.find(host_id) is not None:
-            self.entry.peer_connected(host_id)
-        else:
-            self.synchronizer.peer_lost(host_id)
+        self.synchronizer.peer_lost(host_id)
         if was_connected:
             logs.info("peer_lost", peer=host_id, reason=reason)
 
--- a/src/hickorythread/mesh/open_calls.py
+++ b/src/hickorythread/mesh/open_calls.py
@@ -49,12 +49,23 @@
             if pending.host_id == host_id
         ]
 
-    def oldest_by_host(self) -> dict[str, float]:
-        """Return when the oldest call to each host was sent."""
-        oldest: dict[str, float] = {}
+    def on_stream(
+        self, stream_id: int
+    ) -> list[pending_request.PendingRequest]:
+        """Return the calls that a stream carries."""
+        return [
+            pending
+            for pending in self.by_call_id.values()
+            if pending.stream_id == stream_id
+        ]
+
+    def oldest_by_stream(self) -> dict[int, float]:
+        """Return when the oldest call on each stream was sent."""
+        oldest: dict[int, float] = {}
         for pending in self.by_call_id.values():
-            sent_at = oldest.get(pending.host_id, pending.sent_at)
-            oldest[pending.host_id] = min(sent_at, pending.sent_at)
+            if pending.stream_id:
+                sent_at = oldest.get(pending.stream_id, pending.sent_at)
+                oldest[pending.stream_id] = min(sent_at, pending.sent_at)
         return oldest
 
     def _rebuild_timers(self) -> None:
--- a/src/hickorythread/mesh/pending_request.py
+++ b/src/hickorythread/mesh/pending_request.py
@@ -13,8 +13,8 @@
     runs counts the attempts that may have run at a target, refusals those
     that did not and rejections those of them that a target refused.
     failure_response is the error response of a target, which the client gets
-    if no retry succeeds. has_token is True if the request has taken a token
-    of its account's quota.
+    if no retry succeeds. stream_id is 0 until a stream carries the call.
+    has_token is True if the request has taken a token of its account's quota.
     """
 
     __slots__ = (
@@ -24,6 +24,7 @@
         "deadline",
         "call_id",
         "host_id",
+        "stream_id",
         "target_id",
         "target_started_at_ms",
         "sent_at",
@@ -52,6 +53,7 @@
         self.deadline = deadline
         self.call_id = 0
         self.host_id = ""
+        self.stream_id = 0
         self.target_id = ""
         self.target_started_at_ms = 0
         self.sent_at = 0.0
--- a/src/hickorythread/node.py
+++ b/src/hickorythread/node.py
@@ -373,20 +373,45 @@
 
     # Streams.
 
-    def stream_opened(self, peer: events.Peer) -> None:
+    def stream_opened(self, stream: streams.Stream) -> None:
         """Notify the control plane that a stream to a peer is open."""
-        self.handle(events.StreamOpened(peer))
+        if stream.peer is not None:
+            self.handle(events.StreamOpened(stream.peer))
 
-    def stream_closed(self, host_id: str, reason: str) -> None:
-        """Notify the planes of a lost stream."""
+    def stream_closed(self, stream: streams.Stream, reason: str) -> None:
+        """Settle the calls that a lost stream carried, in both directions."""
+        if stream.peer is None:
+            return
+        host_id = stream.peer.host_id
+        now = self.clock.monotonic()
+        self.perform(self.entry.stream_lost(host_id, stream.id, now))
+        keys = streams.take_calls(self.reply_streams, stream)
+        self.perform(self.execution.calls_lost(keys, now))
+        self._check_connected(host_id, reason)
+
+    def connect_failed(self, host_id: str, reason: str) -> None:
+        """Notify the planes of a host to which no stream can be opened."""
+        self._check_connected(host_id, reason)
+
+    def message_carried(self, stream: streams.Stream, message: Any) -> None:
+        """Note which stream a call leaves on."""
+        if isinstance(message, messages.Call | messages.IssueKey):
+            self.entry.call_carried(message.call_id, stream.id)
+
+    def message_unsent(self, host_id: str, message: Any, reason: str) -> None:
+        """Settle a call that no stream will carry."""
+        if isinstance(message, messages.Call | messages.IssueKey):
+            now = self.clock.monotonic()
+            self.perform(self.entry.call_lost(message.call_id, now))
+
+    def _check_connected(self, host_id: str, reason: str) -> None:
+        """Notify the planes of a host that has no stream left."""
+        if self.streams.find(host_id) is not None:
+            return
         now = self.clock.monotonic()
-        for key in [key for key in self.reply_streams if key[0] == host_id]:
-            if self.reply_streams[key].closed:
-                del self.reply_streams[key]
-        self.perform(self.entry.stream_lost(host_id, now))
+        self.perform(self.entry.peer_lost(host_id, now))
         self.perform(self.execution.peer_lost(host_id, now))
-        if self.streams.find(host_id) is None:
-            self.handle(events.StreamClosed(host_id, reason))
+        self.handle(events.StreamClosed(host_id, reason))
 
     def message_received(
         self, stream: streams.Stream, received: codec.DecodedMessage
--- a/src/hickorythread/streams.py
+++ b/src/hickorythread/streams.py
@@ -39,11 +39,16 @@
 RECONNECT_FIRST_SECONDS = 0.1
 RECONNECT_MAX_SECONDS = 5.0
 CLOCK_PROBE_SECONDS = 10.0
+NOT_CONNECTED = "not connected"
 NO_DELAY: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 ]
 
 
+# The id of a host and that of one of its calls.
+CallKey = tuple[str, int]
+
+
 class Handler(Protocol):
     """Receive the events of the streams of one node."""
 
@@ -60,11 +65,20 @@
     ) -> None:
         """Run a task that concerns one stream; settle() ends a failed one."""
 
-    def stream_opened(self, peer: events.Peer) -> None:
+    def stream_opened(self, stream: "Stream") -> None:
         """Handle a completed handshake."""
 
-    def stream_closed(self, host_id: str, reason: str) -> None:
-        """Handle a closed stream, or a message that could not be sent."""
+    def stream_closed(self, stream: "Stream", reason: str) -> None:
+        """Handle a closed stream; others to its host may be open."""
+
+    def connect_failed(self, host_id: str, reason: str) -> None:
+        """Handle that no stream can be opened now; others may be open."""
+
+    def message_carried(self, stream: "Stream", message: Any) -> None:
+        """Note which stream a timed message leaves on."""
+
+    def message_unsent(self, host_id: str, message: Any, reason: str) -> None:
+        """Handle a message that no stream has carried or will carry."""
 
     def message_received(
         self, stream: "Stream", received: codec.DecodedMessage
@@ -82,6 +96,7 @@
 
     __slots__ = (
         "manager",
+        "id",
         "sock",
         "address",
         "expected_host_id",
@@ -98,6 +113,7 @@
         "heard_at",
         "incomplete_since",
         "turn",
+        "silent",
     )
 
     def __init__(
@@ -108,6 +124,8 @@
         expected_host_id: str = "",
     ) -> None:
         self.manager = manager
+        # Unique among the streams of this process, and never 0.
+        self.id = manager.next_stream_id()
         self.sock = sock
         self.address = address
         self.expected_host_id = expected_host_id
@@ -125,6 +143,8 @@
         self.heard_at = manager.clock.monotonic()
         self.incomplete_since: float | None = None
         self.turn = turns.Turn()
+        # Whether the peer is overdue with a response on this stream.
+        self.silent = False
 
     def send(self, message: messages.Message) -> bool:
         """Queue a message; returns False once the stream is closed."""
@@ -300,8 +320,22 @@
         self.manager.handle_closed(self, reason)
 
 
+def take_calls(
+    carriers: dict[CallKey, Stream], stream: Stream
+) -> list[CallKey]:
+    """Remove and return the calls that came on a stream."""
+    keys = [key for key, carrier in carriers.items() if carrier is stream]
+    for key in keys:
+        del carriers[key]
+    return keys
+
+
 class StreamManager:
-    """Manage the streams of one node; opens at most one to each host."""
+    """Manage the streams of one node; opens at most one to each host.
+
+    The peer may have opened one too. What a stream carries ends with that
+    stream; a host is lost with the last of its streams.
+    """
 
     def __init__(
         self,
@@ -317,7 +351,13 @@
         self.clock = clock
         self.random_source = random_source
         self.addresses: dict[str, str] = {}
+        # The open streams whose handshake is complete, the newest last.
         self.by_host: dict[str, list[Stream]] = {}
+        self.by_id: dict[int, Stream] = {}
+        self.last_stream_id = 0
+        # The hosts to which a stream is being opened, and the messages that
+        # wait for it.
+        self.connecting: set[str] = set()
         self.pending: dict[str, list[tuple[Any, float | None]]] = {}
         self.backoffs: dict[str, readers.Backoff] = {}
         self.retry_at: dict[str, float] = {}
@@ -343,6 +383,11 @@
         self.measures_clocks = True
         self.stopping = False
 
+    def next_stream_id(self) -> int:
+        """Return the id of a new stream."""
+        self.last_stream_id += 1
+        return self.last_stream_id
+
     def listen(self, address: str) -> None:
         """Bind the listening socket and start accepting.
 
@@ -377,6 +422,8 @@
         )
 
     def _spawn_connect(self, host_id: str, address: str) -> None:
+        if host_id:
+            self.connecting.add(host_id)
         settle = functools.partial(self._connect_task_failed, host_id)
         self.spawn(settle, self._connect, host_id, address)
 
@@ -405,9 +452,18 @@
         )
 
     def find(self, host_id: str) -> Stream | None:
-        """Return an open stream to the host."""
+        """Return the stream to use to the host, None if none is open.
+
+        A host opens another stream only when it has none, so that its newest
+        one works although an older one may still seem to be open.
+        """
         streams = self.by_host.get(host_id)
-        return streams[0] if streams else None
+        if not streams:
+            return None
+        for stream in reversed(streams):
+            if not stream.silent:
+                return stream
+        return streams[-1]
 
     def send(self, host_id: str, message: messages.Message) -> None:
         """Send a message, opening a stream if there is none."""
@@ -427,9 +483,17 @@
         stream = self.find(host_id)
         if stream is None:
             self._queue_until_open(host_id, message, local_time)
-        elif not stream.send_timed(message, local_time):
-            self.handler.stream_closed(
-                host_id, "stream is closed or its queue is full"
+        else:
+            self._carry_timed(stream, host_id, message, local_time)
+
+    def _carry_timed(
+        self, stream: Stream, host_id: str, message: Any, local_time: float
+    ) -> None:
+        """Send a timed message; it ends with the stream that carries it."""
+        self.handler.message_carried(stream, message)
+        if not stream.send_timed(message, local_time):
+            self.handler.message_unsent(
+                host_id, message, "stream is closed or its queue is full"
             )
 
     def open(self, address: str) -> None:
@@ -477,6 +541,7 @@
                 self._connect_failed(stream.expected_host_id, reason)
             return
         host_id = stream.peer.host_id
+        self.by_id.pop(stream.id, None)
         streams = self.by_host.get(host_id, [])
         if stream in streams:
             streams.remove(stream)
@@ -485,24 +550,26 @@
         # Reported even if other streams to the host are open: replies to the
         # calls in flight on this stream are not sent on another one.
         if not self.stopping:
-            self.handler.stream_closed(host_id, reason)
+            self.handler.stream_closed(stream, reason)
 
     def _queue_until_open(
         self, host_id: str, message: Any, local_time: float | None
     ) -> None:
-        now = self.clock.monotonic()
-        address = self.addresses.get(host_id)
-        if address is None or now < self.retry_at.get(host_id, 0.0):
-            self.handler.stream_closed(host_id, "not connected")
-            return
-        pending = self.pending.get(host_id)
-        if pending is None:
-            self.pending[host_id] = [(message, local_time)]
+        if host_id not in self.connecting:
+            now = self.clock.monotonic()
+            address = self.addresses.get(host_id)
+            if address is None or now < self.retry_at.get(host_id, 0.0):
+                self.handler.connect_failed(host_id, NOT_CONNECTED)
+                self.handler.message_unsent(host_id, message, NOT_CONNECTED)
+                return
             self._spawn_connect(host_id, address)
-        elif len(pending) < MAX_PENDING_MESSAGES:
+        pending = self.pending.setdefault(host_id, [])
+        if len(pending) < MAX_PENDING_MESSAGES:
             pending.append((message, local_time))
         else:
-            self.handler.stream_closed(host_id, "too many pending messages")
+            self.handler.message_unsent(
+                host_id, message, "too many pending messages"
+            )
 
     def _connect(self, host_id: str, address: str) -> None:
         try:
@@ -521,7 +588,8 @@
         self._start(stream)
 
     def _connect_failed(self, host_id: str, reason: str) -> None:
-        self.pending.pop(host_id, None)
+        self.connecting.discard(host_id)
+        unsent = self.pending.pop(host_id, [])
         backoff = self.backoffs.get(host_id)
         if backoff is None:
             backoff = readers.Backoff(
@@ -532,8 +600,11 @@
             self.backoffs[host_id] = backoff
         now = self.clock.monotonic()
         self.retry_at[host_id] = now + backoff.next()
-        if not self.stopping:
-            self.handler.stream_closed(host_id, reason)
+        if self.stopping:
+            return
+        self.handler.connect_failed(host_id, reason)
+        for message, _ in unsent:
+            self.handler.message_unsent(host_id, message, reason)
 
     def _accept(self) -> None:
         while True:
@@ -628,15 +699,18 @@
             # reported that yet.
             other.close("a newer process of this host connected")
         stream.peer = peer
+        if expected:
+            self.connecting.discard(expected)
         self.by_host.setdefault(host_id, []).append(stream)
+        self.by_id[stream.id] = stream
         self.backoffs.pop(host_id, None)
         self.retry_at.pop(host_id, None)
-        self.handler.stream_opened(peer)
+        self.handler.stream_opened(stream)
         for queued, local_time in self.pending.pop(host_id, []):
             if local_time is None:
                 stream.send(queued)
             else:
-                stream.send_timed(queued, local_time)
+                self._carry_timed(stream, host_id, queued, local_time)
 
     def _update_clock_offset(
         self, stream: Stream, message: messages.ClockReply
--- a/tests/fleet_machine.py
+++ b/tests/fleet_machine.py
@@ -167,7 +167,7 @@
             node.deliver(node.receive, event)
             return
         if isinstance(event, events.StreamClosed):
-            node.deliver(node.entry.stream_lost, event.host_id)
+            node.deliver(node.entry.peer_lost, event.host_id)
             node.deliver(node.owner.peer_lost, event.host_id)
         super().dispatch(node, event)
         if isinstance(event, events.Tick) and node.paused_until <= self.now:
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -348,7 +348,7 @@
 
     def cut_stream(self, one, other):
         for node, lost_peer in ((one, other), (other, one)):
-            node.deliver(node.entry.stream_lost, lost_peer.host.id)
+            node.deliver(node.entry.peer_lost, lost_peer.host.id)
             node.deliver(node.owner.peer_lost, lost_peer.host.id)
 
     def stop(self, node):
--- a/tests/test_endless_senders.py
+++ b/tests/test_endless_senders.py
@@ -214,10 +214,10 @@
         self.count = count
         self.received = 0
 
-    def stream_opened(self, peer):
+    def stream_opened(self, stream):
         pass
 
-    def stream_closed(self, host_id, reason):
+    def stream_closed(self, stream, reason):
         pass
 
     def message_received(self, stream, received):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -46,7 +46,7 @@
     """R8: guards against not-run after a first attempt that may have run."""
     plane = new_entry()
     first = plane.request(mesh.request("GET", "/specs"), 0.0)[0]
-    retry = plane.stream_lost(first.host_id, 0.1)[0]
+    retry = plane.peer_lost(first.host_id, 0.1)[0]
     assert retry.host_id != first.host_id
     assert retry.message.attempt == 1
     refused = plane.reply(retry.host_id, reply(retry, "not-run", 503), 0.2)
@@ -68,7 +68,7 @@
     ]
     plane.hosts_changed(kiln_hosts, [], 0.4)
     plane.request(mesh.request("POST", "/kilns", key="a~1~1~ab"), 0.4)
-    assert responses(plane.stream_lost("a", 0.5))[0].outcome == "unknown"
+    assert responses(plane.peer_lost("a", 0.5))[0].outcome == "unknown"
 
 
 def test_silent_owner_is_replaced_once_and_then_given_up():
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -6,6 +6,7 @@
 import expression
 import pytest
 
+from hickorythread import events as base_events
 from hickorythread.mesh import admission
 from hickorythread.mesh import events
 from hickorythread.mesh import interfaces
@@ -414,6 +415,9 @@
     """A stream whose peer does not respond."""
 
     def __init__(self):
+        self.id = 1
+        self.peer = base_events.Peer("10.0.0.2", 1, "north", "a")
+        self.closed = self.silent = False
         self.heard_at = 0.0
         self.reasons = []
 
@@ -427,6 +431,7 @@
 class SingleStreamManager:
     def __init__(self, stream):
         self.stream = stream
+        self.by_id = {stream.id: stream}
         self.addresses = {}
 
     def find(self, host_id):
@@ -440,15 +445,15 @@
     """
     stream = SilentStream()
     peer_links = links.PeerLinks("10.0.0.1", 7600, SingleStreamManager(stream))
-    calls = {"10.0.0.2": 0.0}
+    calls = {stream.id: 0.0}
     changes = []
     for step in range(60):
         changes += peer_links.check_liveness(calls, step * 0.1)
-    assert changes == [("10.0.0.2", True)] and not stream.reasons
+    assert changes == [(stream, True)] and not stream.reasons
     peer_links.check_liveness({}, 6.0)
     assert stream.reasons == ["no response"]
     stream.heard_at = 6.1
-    assert peer_links.check_liveness({}, 6.2) == [("10.0.0.2", False)]
+    assert peer_links.check_liveness({}, 6.2) == [(stream, False)]
 
 
 def test_distances_follow_a_change_of_the_regions():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -51,9 +51,10 @@
     """Records the messages sent to one process of a peer."""
 
     def __init__(self, incarnation=1):
+        self.id = incarnation
         self.peer = events.Peer("b", incarnation, "north-tas", "devonport")
         self.sent = []
-        self.closed = False
+        self.closed = self.silent = False
 
     def send(self, message):
         if not self.closed:
@@ -167,11 +168,34 @@
     )
     node.perform(node.entry.request(request, 1000.0))
     assert sent[0].host_id == "b"
-    node.stream_closed("b", "reset")
+    node.stream_closed(FakeStream(), "reset")
     assert waiter.response.outcome == messages.UNKNOWN
     assert "b" in node.entry.balancer.unusable
 
 
+def test_call_ends_only_with_the_stream_that_carries_it(node):
+    """Guards against calls that fail with another stream, or an attempt."""
+    list_hosts(node, builders.host("b", "devonport"))
+    sent = []
+    node.actions[events.SendCall] = sent.append
+    waiter = node.waiters[1] = make_waiter()
+    request = events.Request(
+        1, "GET", "/specs", "builders", [], b"", "", 1, 1000.0, 1005.0
+    )
+    node.perform(node.entry.request(request, 1000.0))
+    other, carrying = FakeStream(1), FakeStream(2)
+    node.streams.by_host["b"] = [carrying]
+    node.message_carried(carrying, sent[0].message)
+    node.stream_closed(other, "reset")
+    node.connect_failed("b", "refused")
+    node.message_unsent("b", CALL, "queue is full")
+    assert waiter.response is None
+    assert "b" not in node.entry.balancer.unusable
+    del node.streams.by_host["b"]
+    node.stream_closed(carrying, "reset")
+    assert waiter.response.outcome == messages.UNKNOWN
+
+
 def test_node_is_ready_once_it_has_held_a_lease(node):
     """R5: guards against callers routed to a node that must refuse them."""
     assert node.readiness() == (True, "")
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -45,6 +45,7 @@
         self.clock = servers.ManualClock()
         self.opened, self.closed, self.received = [], [], []
         self.refused, self.errors = [], []
+        self.carried, self.unsent = [], []
         self.streams = streams.StreamManager(
             hello(name, incarnation),
             self,
@@ -68,12 +69,21 @@
     def run_plane(self, name, task, *arguments):
         self.run_task(task, *arguments)
 
-    def stream_opened(self, peer):
-        self.opened.append(peer)
+    def stream_opened(self, stream):
+        self.opened.append(stream.peer)
 
-    def stream_closed(self, host_id, reason):
+    def stream_closed(self, stream, reason):
+        self.closed.append((stream.peer.host_id, reason))
+
+    def connect_failed(self, host_id, reason):
         self.closed.append((host_id, reason))
 
+    def message_carried(self, stream, message):
+        self.carried.append((stream, message))
+
+    def message_unsent(self, host_id, message, reason):
+        self.unsent.append((host_id, message, reason))
+
     def message_received(self, stream, received):
         self.received.append((stream, received.message))
 
@@ -202,6 +212,46 @@
     assert not nodes[0].streams.pending
 
 
+def test_full_queue_loses_only_the_message_without_room(outgoing, monkeypatch):
+    """Guards against a full queue that is taken for the loss of a host."""
+    monkeypatch.setattr(streams, "MAX_PENDING_MESSAGES", 3)
+    node, peer = outgoing
+    for number in (2, 3, 4):
+        node.streams.send_timed("c", call(number), 1010.0)
+    assert [message.call_id for _, message, _ in node.unsent] == [4]
+    peer.send(hello("c"))
+    wait(lambda: node.opened)
+    # Its clock is not known yet.
+    node.streams.send_timed("c", call(5), 1010.0)
+    assert [message.call_id for _, message, _ in node.unsent] == [4, 5]
+    assert not node.closed
+    probe = peer.read(messages.ClockProbe)
+    peer.send(messages.ClockReply(probe.sent_at, 9000.0))
+    received = [peer.read(messages.Call).call_id for _ in range(3)]
+    assert received == [1, 2, 3]
+
+
+def test_failed_attempt_loses_nothing_of_another_stream(outgoing):
+    """Guards against an attempt to connect that ends what already works."""
+    node, attempt = outgoing
+    peer = RawPeer.connect(node)
+    peer.send(hello("c"))
+    wait(lambda: node.opened)
+    carrying = node.streams.find("c")
+    attempt.sock.close()
+    wait(lambda: node.closed)
+    assert node.streams.find("c") is carrying
+    assert [stream for stream, _ in node.carried] == [carrying]
+    assert not node.unsent
+
+
+def test_unsent_messages_of_a_failed_attempt_are_reported(outgoing):
+    node, attempt = outgoing
+    attempt.sock.close()
+    wait(lambda: node.unsent)
+    assert [message.call_id for _, message, _ in node.unsent] == [1]
+
+
 def test_seed_is_met_without_its_host_id(nodes):
     """R12: guards against a seed that is not reached by its address alone."""
     node, other = nodes
