Count the crashes of a request whichever service runs it

The digest held the service that ran the request, so that each service of a split route had its own two crashes and its own trials.

The digest is now made of host, path, method, body and caller, and the turns of a trial go round the hosts of all services to which the route leads.

--- a/src/hickorythread/mesh/execution.py
+++ b/src/hickorythread/mesh/execution.py
@@ -480,13 +480,25 @@
         if not digest:
             return None
         is_tried = any(run.trial == digest for run in self.accepted.values())
-        targets = self.view.by_service.get(self.settings.service, ())
-        host_ids = [target.host_id for target in targets]
+        host_ids = self._hosts_of_route(run.call.route)
         refusal = self.suspects.check(digest, is_tried, host_ids, now)
         if refusal is None:
             run.trial = digest
         return refusal
 
+    def _hosts_of_route(self, name: str) -> list[str]:
+        """Return the hosts of the services to which a route leads."""
+        services = {self.settings.service}
+        if self.view.configuration is not None:
+            for route in self.view.configuration.routes:
+                if route.name == name:
+                    services.update(part for part, _ in route.destinations)
+        return [
+            target.host_id
+            for service in sorted(services)
+            for target in self.view.by_service.get(service, ())
+        ]
+
     def _release_tried(self, run: Run) -> list[events.Record]:
         """Let a request run everywhere that was tried and crashed nothing."""
         if not run.trial:
--- a/src/hickorythread/mesh/suspects.py
+++ b/src/hickorythread/mesh/suspects.py
@@ -15,9 +15,10 @@
 class Suspects:
     """Decide which requests are refused because of earlier crashes.
 
-    A request is identified by the digest of what it asks for. One that was
-    running in several crashes is refused for a while by all hosts, and then
-    tried by a few of them, see trials.
+    A request is identified by the digest of what it asks for and who asks,
+    whichever service runs it: a route may be split between several. One that
+    was running in several crashes is refused for a while by all hosts, and
+    then tried by a few of them, see trials.
     """
 
     __slots__ = ("host_id", "quarantine")
@@ -46,7 +47,7 @@
         """Return the refusal of a repeated suspect, None if it may be tried.
 
         is_tried is True while this host runs another copy of it, and host_ids
-        are the hosts of the service.
+        are the hosts of the services to which it may go.
         """
         seconds = self.quarantine.retry_after(digest, now)
         if seconds <= 0.0 and not is_tried:
@@ -99,6 +100,8 @@
 
 def _digest(call: messages.Forward) -> bytes:
     """Return the digest that identifies repetitions of a request."""
-    return quarantine.fingerprint(
-        call.service, call.method, call.path, call.body
+    host = next(
+        (value for name, value in call.headers if name.lower() == "host"), ""
     )
+    scope = f"{call.caller_service}\0{host.lower()}"
+    return quarantine.fingerprint(scope, call.method, call.path, call.body)
--- a/src/hickorythread/mesh/trials.py
+++ b/src/hickorythread/mesh/trials.py
@@ -22,7 +22,7 @@
 ) -> bool:
     """Return whether a host may try a request.
 
-    host_ids are the hosts of the service, and waited is the time in seconds
+    host_ids are the hosts that may get the request, and waited is the time in seconds
     since the request was last refused by all of them.
     """
     turns = int(waited / TURN_SECONDS)
--- a/src/hickorythread/quarantine.py
+++ b/src/hickorythread/quarantine.py
@@ -86,7 +86,10 @@
             del self.suspects[oldest]
 
 
-def fingerprint(service: str, method: str, path: str, body: bytes) -> bytes:
-    """Return the digest that identifies repetitions of a request."""
-    head = f"{service}\0{method}\0{path}\0".encode()
+def fingerprint(scope: str, method: str, path: str, body: bytes) -> bytes:
+    """Return the digest that identifies repetitions of a request.
+
+    Requests of different scopes are never the same.
+    """
+    head = f"{scope}\0{method}\0{path}\0".encode()
     return blake3.blake3(head).update(body).digest(FINGERPRINT_BYTES)
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -142,9 +142,11 @@
     return plane
 
 
-def make_execution(made_view=None, number=1, now=0.0, alive=True):
+def make_execution(made_view=None, number=1, now=0.0, alive=True, **values):
+    """Build the plane of a host; values replace some of its settings."""
     made_view = made_view or make_view()
-    plane = execution.ExecutionPlane(make_settings(number), made_view, now)
+    settings = make_settings(number, **values)
+    plane = execution.ExecutionPlane(settings, made_view, now)
     plane.tick(now)
     if alive:
         plane.handle_probe_result(
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -8,6 +8,7 @@
 from hickorythread import quarantine
 from hickorythread.mesh import events
 from hickorythread.mesh import messages
+from hickorythread.mesh import models
 from hickorythread.mesh import suspects
 from hickorythread.mesh import trials
 from tests import mesh_builders as build
@@ -21,19 +22,48 @@
 MAX_LATE_RETRIES = 3
 
 
+ONE_SERVICE = ("spec-desk",)
+SPLIT_SERVICES = ("spec-desk", "kiln-desk")
+
+
+def make_split_view(hosts, services):
+    """Build a view whose only route is split evenly between services."""
+    route = build.make_route(
+        destinations=[(service, 1.0) for service in services]
+    )
+    made_view = build.make_view(
+        0,
+        build.make_configuration(
+            routes=[route],
+            services={
+                service: models.Service(service, "/healthz", 120, 3.0, 16)
+                for service in services
+            },
+        ),
+    )
+    for number in range(1, hosts + 1):
+        service = services[number % len(services)]
+        made_view.put_target(build.make_target(number, service=service))
+    return made_view
+
+
 class SuspectPlay:
-    """Send the same request to random hosts of a service.
+    """Send the same request to random hosts of its services.
 
     Until harmless_from each target that begins to run it crashes.
     """
 
-    def __init__(self, seed, hosts, rate, harmless_from=None):
+    def __init__(
+        self, seed, hosts, rate, harmless_from=None, services=ONE_SERVICE
+    ):
         self.random = random.Random(seed)
         self.rate = rate
         self.harmless_from = harmless_from
-        view = build.make_view(hosts)
+        view = make_split_view(hosts, services)
         self.planes = {
-            f"10.0.0.{number}": build.make_execution(view, number)
+            f"10.0.0.{number}": build.make_execution(
+                view, number, service=services[number % len(services)]
+            )
             for number in range(1, hosts + 1)
         }
         self.numbers = itertools.count(1)
@@ -101,8 +131,13 @@
 
     def send(self, now):
         host_id = self.random.choice(list(self.planes))
-        call = build.make_call(next(self.numbers), idempotent=False)
-        actions = self.planes[host_id].call("10.0.0.99", call, now)
+        plane = self.planes[host_id]
+        call = build.make_call(
+            next(self.numbers),
+            idempotent=False,
+            service=plane.settings.service,
+        )
+        actions = plane.call("10.0.0.99", call, now)
         self.perform(host_id, actions, now)
 
     def run(self, seconds):
@@ -118,23 +153,27 @@
         return self
 
 
+@pytest.mark.parametrize("services", [ONE_SERVICE, SPLIT_SERVICES])
 @pytest.mark.parametrize("hosts", [2, 6, 20])
 @pytest.mark.parametrize("rate", [1.0, 5.0, 30.0])
-def test_request_that_crashes_targets_is_tried_at_one_host(hosts, rate):
-    """Guards against a trial at every host at the same moment."""
+def test_request_that_crashes_targets_is_tried_at_one_host(
+    hosts, rate, services
+):
+    """Guards against a trial at every host, or service, at the same moment."""
     for seed in range(5):
-        play = SuspectPlay(seed, hosts, rate).run(75.0)
+        play = SuspectPlay(seed, hosts, rate, services=services).run(75.0)
         third = sorted(play.crashes)[2] if len(play.crashes) > 2 else 75.0
         late = [at for at in play.runs if at > third + CONTACT_SECONDS]
         assert len(late) <= MAX_LATE_RETRIES, (seed, late)
 
 
+@pytest.mark.parametrize("services", [ONE_SERVICE, SPLIT_SERVICES])
 @pytest.mark.parametrize("hosts", [2, 6, 20])
 @pytest.mark.parametrize("rate", [1.0, 2.0])
-def test_request_that_crashes_no_more_runs_everywhere(hosts, rate):
+def test_request_that_crashes_no_more_runs_everywhere(hosts, rate, services):
     """Guards against a request that stays refused at most hosts."""
     for seed in range(5):
-        play = SuspectPlay(seed, hosts, rate, harmless_from=20.0).run(75.0)
+        play = SuspectPlay(seed, hosts, rate, 20.0, services).run(75.0)
         served = {host_id for at, host_id in play.served if at > 60.0}
         assert len(served) >= min(hosts, 10 * rate) / 2, seed
 
@@ -197,3 +236,27 @@
         if isinstance(item.message, messages.Crashed)
     ]
     assert message.victim == f"10.0.0.1/t1/{runs[1]}"
+
+
+@pytest.mark.parametrize(
+    "name,other",
+    [
+        ("path", "/specs/2"),
+        ("caller_service", "kiln-desk"),
+        ("body", b"x"),
+        ("headers", [["Host", "other.example"]]),
+    ],
+)
+def test_request_is_known_by_what_it_asks_for_not_by_its_service(name, other):
+    """Guards against crashes that are counted for each service alone."""
+    known = suspects.Suspects("10.0.0.1")
+    headers = [["Host", "specs.example"]]
+    for number, service in enumerate(SPLIT_SERVICES):
+        call = build.make_call(number, service=service, headers=headers)
+        known.report_crash(call, f"v{number}", 0.0)
+    same = build.make_call(
+        9, service="other", headers=[["host", "specs.example"]]
+    )
+    assert known.digest_if_repeated(same)
+    values = {"headers": headers} | {name: other}
+    assert not known.digest_if_repeated(build.make_call(9, **values))
