--- a/src/hickorythread/mesh/trials.py
+++ b/src/hickorythread/mesh/trials.py
@@ -22,8 +22,8 @@
 ) -> bool:
     """Return whether a host may try a request.
 
-    host_ids are the hosts that may get the request, and waited is the time in seconds
-    since the request was last refused by all of them.
+    host_ids are the hosts that may get the request, and waited is the time in
+    seconds since the request was last refused by all of them.
     """
     turns = int(waited / TURN_SECONDS)
     if turns >= MAX_TURNS:
