Close the connection of a cancelled response that was whole

A cancel that came when the whole response had arrived shut its connection down, and yet the connection was kept. The next request found it closed, which counts as a restart of the target: it failed as stale and the target was paused until a probe.

Connection.may_carry_another() decides for the three clients and says no to a connection that this process has ended. test_own_ends.py: its test failed before (the connection was idle), and passes now.

Session.interrupt() goes over a copy of its connections, since one that ends leaves the set: with real threads it failed once in the test.

--- a/src/hickorythread/adapters.py
+++ b/src/hickorythread/adapters.py
@@ -379,7 +379,6 @@
     def _receive(
         self, connection: http_client.Connection, action: events.RunOnTarget
     ) -> tuple[events.TargetAnswered, bool]:
-        reader = connection.reader
         response = http_client.read_response_head(connection, action.method)
         body = http_client.read_body(response, MAX_RESPONSE_BYTES)
         headers = []
@@ -393,9 +392,7 @@
         answer = events.TargetAnswered(
             action.run_id, response.status, headers, body, started_at
         )
-        # Unexpected bytes after the body must not be read as the response to
-        # the next request, so such a connection is not reused.
-        return answer, not response.will_close and reader.is_empty()
+        return answer, connection.may_carry_another(response)
 
     def _acquire(self, deadline: float) -> "http_client.Connection | str":
         """Return an idle or new connection, or the kind of failure."""
--- a/src/hickorythread/http_client.py
+++ b/src/hickorythread/http_client.py
@@ -235,6 +235,13 @@
         super().connect()
         self.reader = connection_reader.ConnectionReader(self.sock)
 
+    def may_carry_another(self, response: Response) -> bool:
+        """Return whether a request may follow a response."""
+        reader = self.reader
+        ended = response.will_close or reader.aborted
+        # Bytes after the response must not be read as that to the next one.
+        return not ended and reader.is_empty()
+
     def abort(self) -> None:
         """Shut the connection down; a task that reads from it gets an error.
 
@@ -410,7 +417,7 @@
                 connection, "GET", CloseDelimitedResponse
             )
             body = read_body(response, limits.max_bytes)
-            reusable = not response.will_close and reader.is_empty()
+            reusable = connection.may_carry_another(response)
         finally:
             self.in_use.discard(connection)
             if reusable:
@@ -421,7 +428,8 @@
 
     def interrupt(self) -> None:
         """End the exchanges that wait for a response; they raise."""
-        for connection in self.in_use:
+        # An exchange that ends leaves the set.
+        for connection in list(self.in_use):
             connection.abort()
 
     def close(self) -> None:
--- a/tests/test_own_ends.py
+++ b/tests/test_own_ends.py
@@ -75,3 +75,24 @@
         sent.get(timeout=10)
         session.interrupt()
         assert isinstance(result(), OSError)
+
+
+def test_connection_of_a_cancelled_response_is_not_used_again():
+    """Guards against a pause of a target whose connection this side ended.
+
+    The next request on it would fail as if the target had restarted.
+    """
+    whole = target_clients.response(BODY)
+    script = servers.respond(whole)
+    with servers.ScriptedServer(script, script) as server:
+        client = target_clients.make_client(server)
+        matches_call = client.dialect.matches_call
+
+        def cancel_and_match(call, fields):
+            client.cancel(RUN_ID)
+            return matches_call(call, fields)
+
+        client.dialect.matches_call = cancel_and_match
+        assert client.run(target_clients.make_run(RUN_ID)).body == BODY
+        assert not client.idle
+        assert client.run(target_clients.make_run(RUN_ID + 1)).body == BODY
