--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -468,7 +468,13 @@
             if stream.send(message):
                 return
         # A call that this leaves open ends at its deadline.
-        self.spawn_request(_do_nothing, self._message_unsent, host_id, message)
+        self.spawn_request(
+            _do_nothing,
+            self.message_unsent,
+            host_id,
+            message,
+            streams.NOT_CONNECTED,
+        )
 
     def _send_to_self(self, message: Any, now: float) -> None:
         host_id = self.settings.host_id
@@ -607,13 +613,10 @@
 
     def message_unsent(self, host_id: str, message: Any, reason: str) -> None:
         """Settle a call that no stream will carry."""
-        self._message_unsent(host_id, message)
-
-    def _message_unsent(self, host_id: str, message: Any) -> None:
         if isinstance(message, messages.Forward):
             now = self.clock.monotonic()
             self.perform(self.entry.call_lost(message.call_id, now))
-        self._check_connected(host_id, streams.NOT_CONNECTED)
+        self._check_connected(host_id, reason)
 
     def _check_connected(self, host_id: str, reason: str) -> None:
         """Stop the use of a host that has no stream left."""
