Note the loss of a host before its calls are retried

A retry went nowhere wrong in the case that test_lost_host_gets_no_retry_of_its_calls plays, which passes with either order, since a retry avoids the hosts that it has tried; the order no longer depends on that.

--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -594,15 +594,17 @@
         if stream.peer is None:
             return
         host_id = stream.peer.host_id
+        keys = streams.take_calls(self.reply_streams, stream)
+        if self.streams.find(host_id) is None:
+            self._check_connected(host_id, reason)
+            return
+        logs.info("stream_lost", peer=host_id, reason=reason)
         now = self.clock.monotonic()
+        # What is retried must know first whether the host responds.
+        self._update_silence(host_id, now)
         self.perform(self.entry.stream_lost(stream.id, now))
         # Replies to calls on the closed stream never leave on another.
-        keys = streams.take_calls(self.reply_streams, stream)
         self.perform(self.execution.calls_lost(keys, now))
-        if self.streams.find(host_id) is not None:
-            logs.info("stream_lost", peer=host_id, reason=reason)
-            self._update_silence(host_id, now)
-        self._check_connected(host_id, reason)
 
     def connect_failed(self, host_id: str, reason: str) -> None:
         """Handle that no stream to a host can be opened now."""
@@ -613,10 +615,11 @@
 
     def message_unsent(self, host_id: str, message: Any, reason: str) -> None:
         """Settle a call that no stream will carry."""
+        # A retry must not go to the same host.
+        self._check_connected(host_id, reason)
         if isinstance(message, messages.Forward):
             now = self.clock.monotonic()
             self.perform(self.entry.call_lost(message.call_id, now))
-        self._check_connected(host_id, reason)
 
     def _check_connected(self, host_id: str, reason: str) -> None:
         """Stop the use of a host that has no stream left."""
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -12,10 +12,15 @@
 
 import pytest
 
+from hickorythread import events as base_events
 from hickorythread import messages as base_messages
 from hickorythread.mesh import links
 from hickorythread.mesh import messages
+from hickorythread.mesh import node as mesh_node
+from hickorythread.platform import headers
+from hickorythread.platform import store
 from tests import mesh_builders as build
+from tests import servers
 from tests import test_mesh_decisions
 from tests import test_streams
 from tools.loopback import sidecars
@@ -212,3 +217,38 @@
     for step in range(1, 60):
         assert not peer_links.check_liveness({}, step * 0.1)
     assert not older.reasons and not peer_links.probed_at
+
+
+class RecordingStream:
+    """Record what leaves on one stream of a node."""
+
+    def __init__(self, number, host_id):
+        self.id = number
+        self.peer = base_events.Peer(host_id, 1, "north", "a")
+        self.sent = []
+        self.closed = self.silent = False
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+
+def test_lost_host_gets_no_retry_of_its_calls():
+    """Guards against a second attempt at a host that has just been lost."""
+    view = build.make_view(targets=2)
+    node = mesh_node.Node(
+        build.make_settings(),
+        store.StoreClient("127.0.0.1:1", build.REGIONS),
+        headers.Headers(),
+        servers.ManualClock(0.0),
+        random.Random(1),
+    )
+    node.entry = build.make_entry(view, connected=2)
+    node.entry.placement.connected.discard("10.0.0.1")
+    stream = RecordingStream(1, "10.0.0.2")
+    node.streams.by_host["10.0.0.2"] = [stream]
+    node.perform(node.entry.request(build.make_request(), 0.0))
+    assert [type(message) for message in stream.sent] == [messages.Forward]
+    del node.streams.by_host["10.0.0.2"]
+    node.stream_closed(stream, "reset")
+    assert not node.entry.calls.by_call_id
