Name what settles and retries the calls of a stream

Read as a newcomer, _lose and _move did not say what they do. A message to an unreachable host that is no call settles nothing any more: the failed attempt has been reported already, once for all messages that waited for it. The tests of the planes, nodes and streams pass.

--- a/src/hickorythread/entry.py
+++ b/src/hickorythread/entry.py
@@ -194,18 +194,20 @@
         """Retry or fail the calls that a lost stream carried."""
         calls = self.by_host.get(host_id, {}).values()
         lost = [call for call in calls if call.stream_id == stream_id]
-        return self._lose(lost, now)
+        return self._settle_lost(lost, now)
 
     def call_lost(self, call_id: int, now: float) -> list[events.Record]:
         """Retry or fail a call that no stream will carry."""
         pending = self.pending.get(call_id)
-        return [] if pending is None else self._lose([pending], now)
+        return [] if pending is None else self._settle_lost([pending], now)
 
     def peer_lost(self, host_id: str, now: float) -> list[events.Record]:
         """Retry or fail the calls to a node without a stream."""
-        return self._lose(list(self.by_host.get(host_id, {}).values()), now)
+        return self._settle_lost(
+            list(self.by_host.get(host_id, {}).values()), now
+        )
 
-    def _lose(
+    def _settle_lost(
         self, lost: list[PendingRequest], now: float
     ) -> list[events.Record]:
         actions: list[events.Record] = []
--- a/src/hickorythread/mesh/entry.py
+++ b/src/hickorythread/mesh/entry.py
@@ -277,7 +277,7 @@
         """Stop the use of a node without a stream; settle its calls."""
         self.placement.connected.discard(host_id)
         self.quotas.hosts.remove(host_id, now)
-        return self._lose(self.calls.to_host(host_id), now)
+        return self._settle_lost(self.calls.to_host(host_id), now)
 
     def call_carried(self, call_id: int, stream_id: int) -> None:
         """Note on which stream a call leaves."""
@@ -287,14 +287,14 @@
 
     def stream_lost(self, stream_id: int, now: float) -> Actions:
         """Retry or fail the calls that a lost stream carried."""
-        return self._lose(self.calls.on_stream(stream_id), now)
+        return self._settle_lost(self.calls.on_stream(stream_id), now)
 
     def call_lost(self, call_id: int, now: float) -> Actions:
         """Retry or fail a call that no stream will carry."""
         pending = self.calls.by_call_id.get(call_id)
-        return [] if pending is None else self._lose([pending], now)
+        return [] if pending is None else self._settle_lost([pending], now)
 
-    def _lose(
+    def _settle_lost(
         self, lost: list[pending_request.PendingRequest], now: float
     ) -> Actions:
         actions: Actions = []
@@ -330,13 +330,15 @@
         ]
         if not silent:
             return actions
-        return actions + self._move(self.calls.to_host(host_id), now)
+        return actions + self._retry_elsewhere(
+            self.calls.to_host(host_id), now
+        )
 
     def stream_silent(self, stream_id: int, now: float) -> Actions:
-        """Move the requests on a stream whose node responds on another."""
-        return self._move(self.calls.on_stream(stream_id), now)
+        """Retry the requests on a stream whose node responds on another."""
+        return self._retry_elsewhere(self.calls.on_stream(stream_id), now)
 
-    def _move(
+    def _retry_elsewhere(
         self, overdue: list[pending_request.PendingRequest], now: float
     ) -> Actions:
         """Cancel and retry the idempotent ones of overdue requests."""
--- a/src/hickorythread/mesh/node.py
+++ b/src/hickorythread/mesh/node.py
@@ -615,11 +615,12 @@
 
     def message_unsent(self, host_id: str, message: Any, reason: str) -> None:
         """Settle a call that no stream will carry."""
+        if not isinstance(message, messages.Forward):
+            return
         # A retry must not go to the same host.
         self._check_connected(host_id, reason)
-        if isinstance(message, messages.Forward):
-            now = self.clock.monotonic()
-            self.perform(self.entry.call_lost(message.call_id, now))
+        now = self.clock.monotonic()
+        self.perform(self.entry.call_lost(message.call_id, now))
 
     def _check_connected(self, host_id: str, reason: str) -> None:
         """Stop the use of a host that has no stream left."""
