--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -122,6 +122,19 @@
     return waiters.Waiter(lambda: True, 1000.0)
 
 
+def send_request(node):
+    """Let a node call host b; return what is sent and the waiter."""
+    list_hosts(node, builders.host("b", "devonport"))
+    sent = []
+    node.actions[events.SendCall] = sent.append
+    waiter = node.waiters[1] = make_waiter()
+    request = events.Request(
+        1, "GET", "/specs", "builders", [], b"", "", 1, 1000.0, 1005.0
+    )
+    node.perform(node.entry.request(request, 1000.0))
+    return sent, waiter
+
+
 def wait(condition):
     with eventlet.Timeout(10):
         while not condition():
@@ -159,14 +172,7 @@
 
 def test_lost_stream_settles_its_calls(node):
     """R8: guards against waiting for a reply on a closed stream."""
-    list_hosts(node, builders.host("b", "devonport"))
-    sent = []
-    node.actions[events.SendCall] = sent.append
-    waiter = node.waiters[1] = make_waiter()
-    request = events.Request(
-        1, "GET", "/specs", "builders", [], b"", "", 1, 1000.0, 1005.0
-    )
-    node.perform(node.entry.request(request, 1000.0))
+    sent, waiter = send_request(node)
     assert sent[0].host_id == "b"
     node.stream_closed(FakeStream(), "reset")
     assert waiter.response.outcome == messages.UNKNOWN
@@ -175,14 +181,7 @@
 
 def test_call_ends_only_with_the_stream_that_carries_it(node):
     """Guards against calls that fail with another stream, or an attempt."""
-    list_hosts(node, builders.host("b", "devonport"))
-    sent = []
-    node.actions[events.SendCall] = sent.append
-    waiter = node.waiters[1] = make_waiter()
-    request = events.Request(
-        1, "GET", "/specs", "builders", [], b"", "", 1, 1000.0, 1005.0
-    )
-    node.perform(node.entry.request(request, 1000.0))
+    sent, waiter = send_request(node)
     other, carrying = FakeStream(1), FakeStream(2)
     node.streams.by_host["b"] = [carrying]
     node.message_carried(carrying, sent[0].message)
